--- /dev/null
+++ b/include/quetzal/fleet/Planner.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "include/quetzal/clock/Time.h"
+#include "include/quetzal/fleet/MachinePort.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace quetzal::fleet {
+
+/** What runs on one worker, by its cell's last report. */
+struct WorkerLoad
+{
+  int runs_ = 0;
+  bool hasLasting_ = false;
+  bool released_ = false; ///< Closed, and nothing runs there: its host may be taken.
+};
+
+/** What one pool needs. */
+struct PoolDemand
+{
+  double lastingCores_ = 0; ///< Asked for by tasks that last.
+  double backlogWork_ = 0;  ///< Core-seconds waiting or running.
+  double recentWork_ = 0;   ///< Core-seconds that arrived in the last second.
+  double earlierWork_ = 0;  ///< Core-seconds that arrived in the second before.
+  bool fresh_ = false;      ///< The report is recent enough to act on.
+  std::map<std::string, WorkerLoad> workers_;
+};
+
+/** How far a host is in a wave. */
+enum class MaintenancePhase : std::uint8_t
+{
+  kPending,
+  kOrdered, ///< Counts as down until the list shows that it is back.
+  kDone,
+};
+
+struct MaintenanceState
+{
+  MaintenancePhase phase_ = MaintenancePhase::kPending;
+  std::string workerBefore_;     ///< The life of the host that the order ended.
+  bool seenAway_ = false;        ///< The list has shown the host away since the order.
+  clock::Moment orderedAt_{};
+  bool answered_ = false;        ///< The order was accepted.
+};
+
+/** One wave and how far each of its hosts is. */
+struct WaveProgress
+{
+  WaveRequest request_;
+  clock::Moment seenAt_{};
+  std::map<std::string, MaintenanceState> machines_;
+  bool completed_ = false;
+};
+
+/** Everything that a plan is made from. */
+struct FleetView
+{
+  std::vector<Machine> machines_;
+  std::map<std::string, PoolDemand> pools_; ///< By service; pools without a cell are absent.
+  std::vector<WaveProgress> waves_;
+  std::set<std::string> busyMachines_; ///< Hosts with an order on its way.
+  std::string standbyPool_;
+};
+
+/** How eagerly hosts are drawn from the standby pool and returned. */
+struct PlannerOptions
+{
+  double forecastFactor_ = 0.5;  ///< Cores for each core-second of recent or waiting work.
+  double slopeWeight_ = 1.5;     ///< How far the rise of the last second is extended.
+  double backlogWeight_ = 0.8;
+  double arrivalWeight_ = 1.5;
+  int keptHosts_ = 5;            ///< Hosts that stay in every pool.
+  int slackHosts_ = 1;           ///< Hosts beyond the need that are not returned.
+  bool mayPark_ = true;          ///< Hosts may be returned to the standby pool.
+};
+
+struct MoveOrder
+{
+  std::string machine_;
+  std::string pool_;
+
+  auto operator<=>(const MoveOrder&) const = default;
+};
+
+struct MaintenanceOrder
+{
+  std::string machine_;
+  std::int64_t wave_ = 0;
+
+  auto operator<=>(const MaintenanceOrder&) const = default;
+};
+
+/** What is to be done now. */
+struct FleetPlan
+{
+  std::vector<MoveOrder> moves_;
+  std::vector<MaintenanceOrder> maintenance_;
+  std::set<std::string> closed_; ///< Workers on which nothing may be started.
+  std::set<std::string> vacate_; ///< Closed workers whose lasting tasks are to go elsewhere.
+  std::map<std::string, double> targets_; ///< Hosts wanted in each pool.
+};
+
+/** Returns the hosts that a pool needs now. */
+double
+HostsNeeded(const PoolDemand& aDemand, double aCoresPerHost, const PlannerOptions& aOptions);
+
+/** Plans moves and maintenance: hosts are drawn to where work arrives, returned when the work has
+ * gone, and maintained where nothing runs first. Nothing is ordered for a host on which something
+ * runs, nor more maintenance than a wave allows at once. */
+FleetPlan
+MakePlan(const FleetView& aView, const PlannerOptions& aOptions, clock::Moment aNow);
+
+/** Takes over what the list shows of a wave's hosts. */
+void
+UpdateWave(WaveProgress& aWave,
+           const std::vector<Machine>& aMachines,
+           clock::Milliseconds aMaintenanceTime,
+           clock::Moment aNow);
+
+} // namespace quetzal::fleet
--- /dev/null
+++ b/include/quetzal/node/CellClaim.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "include/quetzal/cells/Cell.h"
+#include "include/quetzal/node/Membership.h"
+
+#include <QtCore/QObject>
+
+namespace quetzal::node {
+
+/** What a claim has won. */
+struct ClaimedCell
+{
+  std::int64_t fence_ = 0;
+  std::int64_t keyRevision_ = 0;
+  cells::Inheritance inheritance_;
+};
+
+/** Takes one cell over: wins its key, then reads what the previous owner left. It reports once. */
+class CellClaim : public QObject
+{
+  Q_OBJECT
+
+public:
+  /** @param aSelf the record of the new owner; @param aExpected the revision of the cell's key. */
+  CellClaim(store::SharedStore& aStore,
+            std::string aCell,
+            jobs::OwnerRecord aSelf,
+            std::int64_t aLease,
+            std::int64_t aExpected,
+            QObject* aParent);
+
+  void Begin();
+
+Q_SIGNALS:
+  void Won(const quetzal::node::ClaimedCell& aCell);
+  void Failed();
+
+private:
+  void ReadChain();
+  void Commit(std::int64_t aChainRevision);
+  void ReadJobs();
+  void ReadProgress();
+
+  store::SharedStore& store_;
+  std::string cell_;
+  jobs::OwnerRecord self_;
+  std::int64_t lease_;
+  std::int64_t expected_;
+  int attempts_ = 0;
+  ClaimedCell claimed_;
+};
+
+/** Returns the rank of a host among those that should take a cell: those that own the fewest cells
+ * first, 0 for the one that should. */
+std::size_t
+ClaimRank(const std::string& aHost,
+          const std::string& aCell,
+          const std::map<std::string, jobs::HostRecord>& aHosts,
+          const std::map<std::string, int>& aCellCounts);
+
+} // namespace quetzal::node
--- /dev/null
+++ b/include/quetzal/node/FleetManager.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "include/quetzal/cells/Cell.h"
+#include "include/quetzal/fleet/Planner.h"
+#include "include/quetzal/node/Membership.h"
+
+#include <QtCore/QObject>
+#include <QtCore/QTimer>
+
+namespace quetzal::node {
+
+struct FleetOptions
+{
+  clock::Milliseconds orderGap_{ 3'000 }; ///< From the takeover until the first order.
+  clock::Milliseconds maintenanceTime_{ 2'000 };
+  double ordersPerSecond_ = 0;
+  fleet::PlannerOptions planner_;
+};
+
+/** What the fleet's owner wants of one cell. */
+struct CellOrders
+{
+  std::set<std::string> closed_;
+  std::set<std::string> vacate_;
+};
+
+/** Owns moves and maintenance of hosts, as long as its process holds the fleet's cell. */
+class FleetManager : public QObject
+{
+  Q_OBJECT
+
+public:
+  FleetManager(fleet::MachinePort& aMachines,
+               store::SharedStore& aStore,
+               Feed& aFeed,
+               const Membership& aMembership,
+               metrics::Registry& aMetrics,
+               std::int64_t aFence,
+               const FleetOptions& aOptions,
+               QObject* aParent);
+
+  /** Takes a cell's report. @return what its owner is to do. */
+  CellOrders OnReport(const cells::CellReport& aReport);
+
+  void Stop();
+
+private:
+  struct ReportRow
+  {
+    cells::CellReport report_;
+    clock::Moment at_{};
+  };
+
+  void Tick();
+  void OnList(const fleet::MachineList& aList);
+  void SyncWaves();
+  void ReadWaveRecord(std::int64_t aWave, const store::ReadResult& aResult);
+  void Act();
+  fleet::FleetView View(clock::Moment aNow) const;
+  void Move(const fleet::MoveOrder& aOrder);
+  void Maintain(const fleet::MaintenanceOrder& aOrder);
+  bool TakeOrderRight();
+  void StoreWave(const fleet::WaveProgress& aWave);
+  void ShowWave(std::int64_t aWave, bool aCompleted);
+  fleet::OrderAuthority Authority() const;
+  bool MayOrder() const;
+
+  fleet::MachinePort& machines_;
+  store::SharedStore& store_;
+  Feed& feed_;
+  const Membership& membership_;
+  metrics::Registry& metrics_;
+  std::int64_t fence_;
+  FleetOptions options_;
+  clock::Moment begun_;
+  QTimer timer_;
+  bool listing_ = false;
+  bool stopped_ = false;
+  std::vector<fleet::Machine> list_;
+  clock::Moment listAt_{};
+  std::map<std::string, ReportRow> reports_;
+  std::map<std::int64_t, fleet::WaveProgress> waves_;
+  std::set<std::int64_t> readingWaves_;
+  std::set<std::string> busy_;
+  std::map<std::string, clock::Moment> orderedAt_;
+  std::set<std::string> closed_;
+  std::set<std::string> vacate_;
+  double orderRights_ = 0;
+  clock::Moment rightsAt_{};
+};
+
+} // namespace quetzal::node
--- /dev/null
+++ b/include/quetzal/node/JobDesk.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "include/quetzal/cells/Cell.h"
+#include "include/quetzal/clock/Time.h"
+
+#include <string>
+
+namespace quetzal::node {
+
+enum class RequestKind : int
+{
+  kSubmit = 1,
+  kShow = 2,
+  kCancel = 3,
+  kCount = 4,
+};
+
+/** A caller's request, once its queue is known. */
+struct JobRequest
+{
+  RequestKind kind_ = RequestKind::kShow;
+  std::string cell_;
+  std::string queue_;
+  std::string id_;      ///< Empty with kCount.
+  jobs::JobSpec spec_;  ///< With kSubmit.
+  clock::Milliseconds patience_{ 3'000 }; ///< How long the caller waits.
+};
+
+/** Answers callers' requests about jobs, wherever the job's cell is. */
+class JobDesk
+{
+public:
+  virtual ~JobDesk() = default;
+
+  /** The callback comes once, within the caller's patience. */
+  virtual void Handle(const JobRequest& aRequest, cells::AnswerCallback aDone) = 0;
+
+  /** Returns the configuration in force; null while there is none. */
+  virtual const jobs::Configuration* Configuration() const = 0;
+
+  virtual bool IsReady() const = 0;
+};
+
+} // namespace quetzal::node
--- /dev/null
+++ b/include/quetzal/node/NodeProcess.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "include/quetzal/node/CellClaim.h"
+#include "include/quetzal/node/FleetManager.h"
+#include "include/quetzal/node/JobDesk.h"
+#include "include/quetzal/node/NodeSettings.h"
+#include "include/quetzal/node/PeerLinks.h"
+
+#include <QtCore/QObject>
+#include <QtCore/QTimer>
+
+namespace quetzal::node {
+
+/** The platform's ports; each outlives the process. */
+struct Ports
+{
+  store::SharedStore* store_ = nullptr;
+  Feed* feed_ = nullptr;
+  fleet::MachinePort* machines_ = nullptr;
+  workers::AdvicePort* advice_ = nullptr; ///< Null where there is none.
+  workers::WorkerPortFactory makeWorker_;
+};
+
+/** One entry host: takes part in ownership, serves callers, and owns cells. */
+class NodeProcess
+  : public QObject
+  , public JobDesk
+{
+  Q_OBJECT
+
+public:
+  NodeProcess(const NodeSettings& aSettings, Ports aPorts, metrics::Registry& aMetrics);
+
+  /** @throws http::ListenError. */
+  void Start();
+
+  /** Hands every cell over, then ends. */
+  void Stop();
+
+  void Handle(const JobRequest& aRequest, cells::AnswerCallback aDone) override;
+  const jobs::Configuration* Configuration() const override;
+  bool IsReady() const override;
+  bool IsStopping() const { return stopping_; }
+
+Q_SIGNALS:
+  /** Every cell has been handed over, or the time for it has passed. */
+  void HandedOver();
+
+private:
+  struct Owned
+  {
+    cells::Cell* cell_ = nullptr;
+    std::int64_t keyRevision_ = 0;
+    bool reporting_ = false;
+  };
+
+  void Tick();
+  void ClaimCells();
+  void Claim(const std::string& aCell);
+  void OnWon(const std::string& aCell, const ClaimedCell& aClaimed);
+  void BeginFleet(std::int64_t aFence, std::int64_t aKeyRevision);
+  void DropCell(const std::string& aCell);
+  void DropAll();
+  void CheckOwners();
+  std::vector<std::string> WantedCells() const;
+  jobs::OwnerRecord SelfRecord() const;
+
+  void HandleLocally(cells::Cell& aCell, const JobRequest& aRequest, cells::AnswerCallback aDone);
+  void HandleAtPeer(const jobs::OwnerRecord& aOwner,
+                    const JobRequest& aRequest,
+                    cells::AnswerCallback aDone);
+  void HandleFromStore(const JobRequest& aRequest, const cells::AnswerCallback& aDone, bool aFinal);
+  void ServePeer(PeerMethod aMethod,
+                 const std::string& aBody,
+                 const std::function<void(const std::string&)>& aReply);
+  void Report(const std::string& aCell);
+  void ApplyOrders(const std::string& aCell, const CellOrders& aOrders);
+  void HandOver();
+  void Release(const std::string& aKey, std::int64_t aRevision);
+
+  NodeSettings settings_;
+  Ports ports_;
+  metrics::Registry& metrics_;
+  Membership membership_;
+  PeerLinks links_;
+  std::map<std::string, Owned> cells_;
+  std::map<std::string, CellClaim*> claims_;
+  std::map<std::string, clock::Moment> vacantSince_;
+  FleetManager* fleet_ = nullptr;
+  std::int64_t fleetKeyRevision_ = 0;
+  QTimer tickTimer_;
+  clock::Moment startedAt_;
+  clock::Moment stopBegun_{};
+  bool stopping_ = false;
+  bool handedOver_ = false;
+};
+
+} // namespace quetzal::node
--- /dev/null
+++ b/include/quetzal/node/NodeSettings.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "include/quetzal/cells/Worker.h"
+#include "include/quetzal/clock/Time.h"
+#include "include/quetzal/settings/Node.h"
+
+#include <optional>
+#include <string>
+
+namespace quetzal::node {
+
+/** Settings of quetzal-jobd on one entry host. */
+struct NodeSettings
+{
+  std::string name_;
+  std::string address_; ///< IP address of this host.
+  std::string availabilityZone_;
+  settings::Endpoint peers_;
+  settings::Endpoint callers_;
+  settings::Endpoint ready_;
+  settings::Endpoint metrics_;
+  settings::Endpoint store_;
+  settings::Endpoint machines_;
+  double machineOrdersPerSecond_ = 0;
+  double machineReadsPerSecond_ = 0;
+  std::optional<settings::Endpoint> advice_;
+  clock::Milliseconds stopTime_{ 0 };      ///< From SIGTERM until the process must have ended.
+  clock::Milliseconds fleetOrderGap_{ 0 }; ///< Between the orders of two owners of the fleet.
+  clock::Milliseconds retention_{ 0 };     ///< Ended jobs are shown at least this long.
+  clock::Milliseconds awayNotice_{ 0 };    ///< A task taken away counts as away this long.
+  clock::Milliseconds maintenanceTime_{ 0 };
+  clock::Milliseconds moveTime_{ 0 };
+  cells::LeaseTimes times_;
+};
+
+/** Reads and checks a settings file. @throws settings::SettingsError. */
+NodeSettings
+MakeNodeSettings(const std::string& aFile);
+
+} // namespace quetzal::node
--- /dev/null
+++ b/include/quetzal/workers/Book.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "include/quetzal/clock/Time.h"
+#include "include/quetzal/workers/WorkerPort.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace quetzal::workers {
+
+/** How far one run on a worker is known to be. */
+enum class SlotState : std::uint8_t
+{
+  kOrdered,  ///< The start is on its way.
+  kUnsure,   ///< The start got no answer: it may have been carried out, or may be yet.
+  kRunning,
+  kStopping, ///< Still uses its room until its end is listed.
+};
+
+/** One run that a worker has, or may have. */
+struct Slot
+{
+  std::int64_t run_ = 0;
+  SlotState state_ = SlotState::kOrdered;
+  Capacity need_; ///< Without processors where the step fills.
+  bool lasting_ = false;
+  bool fills_ = false;
+  std::int64_t targetMs_ = 0;
+  clock::Moment orderedAt_{};
+  clock::Moment answeredAt_{}; ///< When the start's answer, or the lack of one, was known.
+  clock::Moment barredAt_{};   ///< When the worker confirmed that the run will not start; or never.
+  int percent_ = 100;
+  std::int64_t figure_ = 0;
+};
+
+/** A worker's clock as read from its answers. It may be slow by kClockSlowness. */
+struct ClockReading
+{
+  std::int64_t clockMs_ = 0;
+  clock::Moment readAt_{};
+};
+
+/** How much slower than this process' clock a worker's may run. */
+inline constexpr double kClockSlowness = 0.02;
+
+/** What the owner of a cell knows of one life of a worker. */
+struct Book
+{
+  std::map<jobs::TaskId, Slot> slots_;
+  Capacity used_;
+  std::optional<ClockReading> clock_;
+  std::int64_t grantedMs_ = 0; ///< Latest lease end it was told, on its own clock.
+  std::int64_t bornMs_ = 0;    ///< 0: not known yet.
+  std::int64_t processed_ = 0; ///< Ends up to this number have been handed on.
+  std::set<std::int64_t> unrecorded_; ///< Ends handed on and not yet recorded.
+};
+
+/** Enters a run that is about to be ordered. */
+void
+AddSlot(Book& aBook, const jobs::TaskId& aTask, const Slot& aSlot);
+
+/** Takes a run out. @return whether it was there. */
+bool
+RemoveSlot(Book& aBook, const jobs::TaskId& aTask, std::int64_t aRun);
+
+/** Returns the worker's clock now, never ahead of it but for its slowness; 0 if unknown. */
+std::int64_t
+ClockAt(const Book& aBook, clock::Moment aNow);
+
+/** Tells whether the lease of everything on the worker has surely run out. */
+bool
+HasSurelyLapsed(const Book& aBook, clock::Moment aNow);
+
+/** Returns the number up to which every end has been recorded. */
+std::int64_t
+RecordedUpTo(const Book& aBook);
+
+/** Returns what remains of a capacity. Below 0 where more is in use than there is. */
+Capacity
+FreeOf(const Book& aBook, const Capacity& aCapacity);
+
+bool
+HasLasting(const Book& aBook);
+
+} // namespace quetzal::workers
--- /dev/null
+++ b/src/cells/CellWriter.cpp
@@ -0,0 +1,237 @@
+#include "include/quetzal/cells/CellWriter.h"
+
+#include "include/quetzal/log/Log.h"
+
+#include <QtCore/QPointer>
+#include <algorithm>
+
+namespace quetzal::cells {
+namespace {
+
+constexpr clock::Milliseconds kRetryPause{ 120 };
+/** A change without an answer for this long means that the store is away. */
+constexpr clock::Milliseconds kStallTime{ 1'500 };
+/** The linking key takes one expectation and one put of every change. */
+constexpr std::size_t kLinkEntries = 2;
+
+std::size_t
+EntriesOf(const CellWrite& aWrite)
+{
+  return aWrite.puts_.size() + aWrite.removes_.size() + (aWrite.mustBeAbsent_.empty() ? 0U : 1U);
+}
+
+const store::KeyValue*
+FindItem(const std::vector<store::KeyValue>& aItems, const std::string& aKey)
+{
+  const auto found = std::find_if(
+    aItems.begin(), aItems.end(), [&aKey](const auto& aItem) { return aItem.key_ == aKey; });
+  return found == aItems.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+CellWriter::CellWriter(store::SharedStore& aStore,
+                       std::string aKey,
+                       jobs::OwnerRecord aSelf,
+                       std::int64_t aRevision,
+                       QObject* aParent)
+  : QObject(aParent)
+  , store_(aStore)
+  , key_(std::move(aKey))
+  , self_(std::move(aSelf))
+  , revision_(aRevision)
+{
+  timer_.setSingleShot(true);
+  connect(&timer_, &QTimer::timeout, this, &CellWriter::Flush);
+}
+
+void
+CellWriter::Add(CellWrite aWrite, clock::Milliseconds aDelay)
+{
+  if (lost_) {
+    if (aWrite.done_) {
+      aWrite.done_({ WriteOutcome::kLost, {} });
+    }
+    return;
+  }
+  pending_.push_back(std::move(aWrite));
+  const clock::Moment due = std::chrono::steady_clock::now() + aDelay;
+  if (!timer_.isActive() || due < due_) {
+    due_ = due;
+    timer_.start(aDelay);
+  }
+}
+
+void
+CellWriter::SetRoster(std::vector<jobs::RosterEntry> aRoster, std::function<void()> aDone)
+{
+  self_.roster_ = std::move(aRoster);
+  CellWrite write;
+  write.done_ = [aDone](const WriteResult& aResult) {
+    if (aResult.outcome_ == WriteOutcome::kStored) {
+      aDone();
+    }
+  };
+  Add(std::move(write), clock::Milliseconds(0));
+}
+
+bool
+CellWriter::IsStalled(clock::Moment aNow) const
+{
+  return inFlight_ && aNow - sentFirst_ > kStallTime;
+}
+
+void
+CellWriter::Flush()
+{
+  if (inFlight_ || pending_.empty() || lost_) {
+    return;
+  }
+  std::size_t entries = kLinkEntries;
+  batch_.clear();
+  while (!pending_.empty() &&
+         entries + EntriesOf(pending_.front()) <= store::kMostChangeEntries) {
+    entries += EntriesOf(pending_.front());
+    batch_.push_back(std::move(pending_.front()));
+    pending_.pop_front();
+  }
+  ++self_.sequence_;
+  change_ = {};
+  change_.expected_.push_back({ key_, revision_ });
+  change_.puts_.push_back({ key_, jobs::Encode(self_), 0 });
+  for (const CellWrite& write : batch_) {
+    if (!write.mustBeAbsent_.empty()) {
+      change_.expected_.push_back({ write.mustBeAbsent_, 0 });
+    }
+    change_.puts_.insert(change_.puts_.end(), write.puts_.begin(), write.puts_.end());
+    change_.removes_.insert(
+      change_.removes_.end(), write.removes_.begin(), write.removes_.end());
+  }
+  inFlight_ = true;
+  sentFirst_ = std::chrono::steady_clock::now();
+  Send();
+}
+
+void
+CellWriter::Send()
+{
+  const QPointer<CellWriter> self(this);
+  store_.Commit(change_, [self](const store::CommitResult& aResult) {
+    if (self) {
+      self->OnResult(aResult);
+    }
+  });
+}
+
+void
+CellWriter::OnResult(const store::CommitResult& aResult)
+{
+  if (lost_) {
+    return;
+  }
+  switch (aResult.status_) {
+    case store::Status::kSucceeded:
+      OnStored(aResult.revision_);
+      return;
+    case store::Status::kConflict:
+      OnConflict(aResult);
+      return;
+    default:
+      // The same change again: it expects the change before it, so it cannot happen twice.
+      QTimer::singleShot(kRetryPause, this, [this] {
+        if (inFlight_ && !lost_) {
+          Send();
+        }
+      });
+  }
+}
+
+void
+CellWriter::OnStored(std::int64_t aRevision)
+{
+  revision_ = aRevision;
+  inFlight_ = false;
+  std::vector<CellWrite> batch;
+  batch.swap(batch_);
+  ScheduleNext();
+  for (const CellWrite& write : batch) {
+    if (write.done_) {
+      write.done_({ WriteOutcome::kStored, {} });
+    }
+  }
+}
+
+void
+CellWriter::OnConflict(const store::CommitResult& aResult)
+{
+  const store::KeyValue* link = FindItem(aResult.current_, key_);
+  jobs::OwnerRecord owner;
+  const bool isMine = link != nullptr && jobs::Decode(link->value_, owner) &&
+                      owner.owner_ == self_.owner_ && owner.incarnation_ == self_.incarnation_;
+  if (!isMine) {
+    Fail();
+    return;
+  }
+  if (owner.sequence_ == self_.sequence_) {
+    OnStored(link->modRevision_); // An earlier try succeeded without an answer.
+    return;
+  }
+  inFlight_ = false;
+  revision_ = link->modRevision_;
+  std::vector<CellWrite> batch;
+  batch.swap(batch_);
+  std::vector<std::pair<CellWrite, std::string>> refused;
+  for (auto write = batch.rbegin(); write != batch.rend(); ++write) {
+    const store::KeyValue* existing =
+      write->mustBeAbsent_.empty() ? nullptr : FindItem(aResult.current_, write->mustBeAbsent_);
+    if (existing != nullptr) {
+      refused.emplace_back(std::move(*write), existing->value_);
+    } else {
+      pending_.push_front(std::move(*write));
+    }
+  }
+  ScheduleNext();
+  for (const auto& [write, value] : refused) {
+    write.done_({ WriteOutcome::kConflict, value });
+  }
+}
+
+void
+CellWriter::Fail()
+{
+  Abandon();
+  Q_EMIT Lost();
+}
+
+void
+CellWriter::Abandon()
+{
+  lost_ = true;
+  inFlight_ = false;
+  std::vector<CellWrite> all;
+  all.swap(batch_);
+  for (CellWrite& write : pending_) {
+    all.push_back(std::move(write));
+  }
+  pending_.clear();
+  for (const CellWrite& write : all) {
+    if (write.done_) {
+      write.done_({ WriteOutcome::kLost, {} });
+    }
+  }
+}
+
+void
+CellWriter::ScheduleNext()
+{
+  if (pending_.empty()) {
+    return;
+  }
+  const auto left = std::chrono::duration_cast<clock::Milliseconds>(
+    due_ - std::chrono::steady_clock::now());
+  if (!timer_.isActive()) {
+    timer_.start(std::max(left, clock::Milliseconds(0)));
+  }
+}
+
+} // namespace quetzal::cells
--- /dev/null
+++ b/src/jobs/Configuration.cpp
@@ -0,0 +1,42 @@
+#include "include/quetzal/jobs/Configuration.h"
+
+namespace quetzal::jobs {
+
+const Queue*
+FindQueue(const Configuration& aConfiguration, const std::string& aHost, const std::string& aPath)
+{
+  const Queue* best = nullptr;
+  for (const Queue& queue : aConfiguration.queues_) {
+    if (queue.host_ != aHost || !aPath.starts_with(queue.prefix_)) {
+      continue;
+    }
+    if (best == nullptr || queue.prefix_.size() > best->prefix_.size()) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+const Queue*
+FindQueueByName(const Configuration& aConfiguration, const std::string& aName)
+{
+  for (const Queue& queue : aConfiguration.queues_) {
+    if (queue.name_ == aName) {
+      return &queue;
+    }
+  }
+  return nullptr;
+}
+
+std::string
+StandbyPoolOf(const Configuration& aConfiguration)
+{
+  for (const Service& service : aConfiguration.services_) {
+    if (service.standby_) {
+      return service.name_;
+    }
+  }
+  return {};
+}
+
+} // namespace quetzal::jobs
--- /dev/null
+++ b/src/jobs/Job.cpp
@@ -0,0 +1,139 @@
+#include "include/quetzal/jobs/Job.h"
+
+#include <algorithm>
+#include <array>
+
+namespace quetzal::jobs {
+namespace {
+
+constexpr int kMostSteps = 64;
+constexpr int kMostTasks = 4'096;
+constexpr std::int64_t kMostAmount = 1'000'000'000;
+constexpr std::int64_t kMostDurationMs = 7LL * 24 * 3'600 * 1'000;
+constexpr std::size_t kMostPayloadBytes = 16 * 1024;
+constexpr int kMostRepetitions = 100'000;
+/** Assumed for tasks whose caller gave no estimate. */
+constexpr std::int64_t kUnknownEstimateMs = 600;
+constexpr double kMillicoreMsPerCoreSecond = 1e6;
+
+bool
+IsAmount(std::int64_t aValue, std::int64_t aMost = kMostAmount)
+{
+  return aValue >= 0 && aValue <= aMost;
+}
+
+std::int64_t
+EstimateOf(const StepSpec& aStep)
+{
+  return aStep.estimateMs_ > 0 ? aStep.estimateMs_ : kUnknownEstimateMs;
+}
+
+bool
+HasSensibleAmounts(const StepSpec& aStep)
+{
+  return IsAmount(aStep.cpu_) && IsAmount(aStep.memory_) && IsAmount(aStep.accelerators_) &&
+         IsAmount(aStep.estimateMs_, kMostDurationMs) && IsAmount(aStep.targetMs_, kMostDurationMs) &&
+         aStep.mostPerWorker_ >= 0 && aStep.mayMiss_ >= 0;
+}
+
+bool
+RefersBackOnly(const StepSpec& aStep, int aIndex)
+{
+  return std::all_of(aStep.after_.begin(), aStep.after_.end(), [aIndex](int aEarlier) {
+    return aEarlier >= 0 && aEarlier < aIndex;
+  });
+}
+
+} // namespace
+
+const char*
+ToString(JobState aState)
+{
+  static constexpr std::array kNames{ "queued", "running", "completed", "failed", "cancelled" };
+  return kNames.at(static_cast<std::size_t>(aState));
+}
+
+const char*
+ToString(EndKind aKind)
+{
+  static constexpr std::array kNames{ "done", "failed", "stopped", "lapsed", "broken", "alone" };
+  return kNames.at(static_cast<std::size_t>(aKind));
+}
+
+std::string
+ToString(const TaskId& aTask)
+{
+  return aTask.job_ + "." + std::to_string(aTask.occurrence_) + "." + std::to_string(aTask.step_) +
+         "." + std::to_string(aTask.index_);
+}
+
+bool
+IsValid(const JobSpec& aSpec, std::string& aWhy)
+{
+  if (aSpec.steps_.empty() || aSpec.steps_.size() > kMostSteps) {
+    aWhy = "the number of steps is out of range";
+    return false;
+  }
+  if (aSpec.payload_.size() > kMostPayloadBytes) {
+    aWhy = "the payload is too long";
+    return false;
+  }
+  if (aSpec.repetitions_ < 0 || aSpec.repetitions_ > kMostRepetitions ||
+      (aSpec.repetitions_ > 1 && aSpec.intervalMs_ <= 0)) {
+    aWhy = "the repetitions are out of range";
+    return false;
+  }
+  int tasks = 0;
+  for (int i = 0; i < static_cast<int>(aSpec.steps_.size()); ++i) {
+    const StepSpec& step = aSpec.steps_[static_cast<std::size_t>(i)];
+    if (step.count_ < 1 || step.count_ > kMostTasks || !HasSensibleAmounts(step)) {
+      aWhy = "an amount of step " + std::to_string(i) + " is out of range";
+      return false;
+    }
+    if (!RefersBackOnly(step, i)) {
+      aWhy = "step " + std::to_string(i) + " depends on a step that is not earlier";
+      return false;
+    }
+    tasks += step.count_;
+  }
+  if (tasks > kMostTasks) {
+    aWhy = "there are too many tasks";
+    return false;
+  }
+  return true;
+}
+
+bool
+IsLasting(const JobSpec& aSpec)
+{
+  return std::any_of(aSpec.steps_.begin(), aSpec.steps_.end(), [](const StepSpec& aStep) {
+    return aStep.lasting_;
+  });
+}
+
+double
+EstimatedWork(const JobSpec& aSpec)
+{
+  double work = 0;
+  for (const StepSpec& step : aSpec.steps_) {
+    const auto cpu = static_cast<double>(step.cpu_) * step.count_;
+    work += cpu * static_cast<double>(EstimateOf(step)) / kMillicoreMsPerCoreSecond;
+  }
+  return work;
+}
+
+std::chrono::milliseconds
+EstimatedChain(const JobSpec& aSpec)
+{
+  std::vector<std::int64_t> ends;
+  for (const StepSpec& step : aSpec.steps_) {
+    std::int64_t begin = 0;
+    for (const int earlier : step.after_) {
+      begin = std::max(begin, ends.at(static_cast<std::size_t>(earlier)));
+    }
+    ends.push_back(begin + EstimateOf(step));
+  }
+  return std::chrono::milliseconds(ends.empty() ? 0 : *std::max_element(ends.begin(), ends.end()));
+}
+
+} // namespace quetzal::jobs
--- /dev/null
+++ b/src/jobs/JobTable.cpp
@@ -0,0 +1,326 @@
+#include "include/quetzal/jobs/JobTable.h"
+
+#include <algorithm>
+
+namespace quetzal::jobs {
+namespace {
+
+int
+RepetitionsOf(const JobSpec& aSpec)
+{
+  return std::max(aSpec.repetitions_, 1);
+}
+
+std::int64_t
+DueMs(const JobSpec& aSpec, int aOccurrence)
+{
+  return aSpec.repetitions_ > 0 ? aSpec.firstMs_ + aOccurrence * aSpec.intervalMs_ : 0;
+}
+
+Occurrence
+MakeOccurrence(const JobSpec& aSpec)
+{
+  Occurrence occurrence;
+  for (const StepSpec& step : aSpec.steps_) {
+    StepState state;
+    state.tasks_.resize(static_cast<std::size_t>(step.count_));
+    occurrence.steps_.push_back(std::move(state));
+  }
+  return occurrence;
+}
+
+bool
+IsDone(const Occurrence& aOccurrence)
+{
+  return std::all_of(aOccurrence.steps_.begin(),
+                     aOccurrence.steps_.end(),
+                     [](const StepState& aStep) { return aStep.IsDone(); });
+}
+
+const StepSpec&
+SpecOfStep(const Job& aJob, int aStep)
+{
+  return aJob.spec_.steps_.at(static_cast<std::size_t>(aStep));
+}
+
+bool
+HasWaiting(const StepState& aStep)
+{
+  return aStep.done_ < static_cast<int>(aStep.tasks_.size());
+}
+
+void
+MarkDone(Job& aJob, StepState& aStep, TaskState& aTask)
+{
+  if (aTask.phase_ == TaskPhase::kDone) {
+    return;
+  }
+  if (aTask.phase_ == TaskPhase::kPlaced) {
+    --aJob.placed_;
+  }
+  aTask.phase_ = TaskPhase::kDone;
+  aTask.checkpoint_.clear();
+  ++aStep.done_;
+}
+
+/** Applies a gang's end to every member: one end done stands for all of them. */
+void
+MarkGangDone(Job& aJob, StepState& aStep)
+{
+  for (TaskState& task : aStep.tasks_) {
+    MarkDone(aJob, aStep, task);
+  }
+}
+
+void
+CloseIfDone(Job& aJob, int aOccurrence, EndEffect& aEffect)
+{
+  const auto live = aJob.live_.find(aOccurrence);
+  if (live == aJob.live_.end() || !IsDone(live->second)) {
+    return;
+  }
+  aJob.live_.erase(live);
+  aJob.occurrencesDone_.insert(aOccurrence);
+  aEffect.completed_ =
+    static_cast<int>(aJob.occurrencesDone_.size()) == RepetitionsOf(aJob.spec_);
+}
+
+} // namespace
+
+Job
+MakeJob(const std::string& aId, const std::string& aQueue, const JobSpec& aSpec)
+{
+  Job job;
+  job.id_ = aId;
+  job.queue_ = aQueue;
+  job.spec_ = aSpec;
+  job.lasting_ = IsLasting(aSpec);
+  job.work_ = EstimatedWork(aSpec);
+  job.chain_ = EstimatedChain(aSpec);
+  return job;
+}
+
+std::int64_t
+OpenDueOccurrences(Job& aJob, std::int64_t aNowMs)
+{
+  const int total = RepetitionsOf(aJob.spec_);
+  bool opened = false;
+  while (aJob.nextOccurrence_ < total && DueMs(aJob.spec_, aJob.nextOccurrence_) <= aNowMs) {
+    const int index = aJob.nextOccurrence_++;
+    if (!aJob.occurrencesDone_.contains(index)) {
+      aJob.live_.emplace(index, MakeOccurrence(aJob.spec_));
+      opened = true;
+    }
+  }
+  if (opened) {
+    CountWaiting(aJob);
+  }
+  return aJob.nextOccurrence_ < total ? DueMs(aJob.spec_, aJob.nextOccurrence_) : 0;
+}
+
+void
+ApplyProgress(Job& aJob, const ProgressRecord& aRecord)
+{
+  for (const int occurrence : aRecord.occurrencesDone_) {
+    aJob.occurrencesDone_.insert(occurrence);
+    aJob.live_.erase(occurrence);
+    aJob.begun_ = true;
+  }
+  for (const StepMarks& marks : aRecord.done_) {
+    for (std::size_t i = 0; i < marks.done_.size(); ++i) {
+      const TaskId id{ aJob.id_, marks.occurrence_, marks.step_, static_cast<int>(i) };
+      TaskState* task = marks.done_[i] == '1' ? FindTask(aJob, id) : nullptr;
+      if (task != nullptr) {
+        MarkDone(aJob,
+                 aJob.live_.at(marks.occurrence_).steps_.at(static_cast<std::size_t>(marks.step_)),
+                 *task);
+        aJob.begun_ = true;
+      }
+    }
+  }
+  for (const TaskMark& mark : aRecord.failures_) {
+    const TaskId id{ aJob.id_, mark.occurrence_, mark.step_, mark.index_ };
+    if (TaskState* task = FindTask(aJob, id)) {
+      task->failures_ = mark.count_;
+      aJob.begun_ = true;
+    }
+  }
+  for (const TaskMark& mark : aRecord.checkpoints_) {
+    const TaskId id{ aJob.id_, mark.occurrence_, mark.step_, mark.index_ };
+    if (TaskState* task = FindTask(aJob, id)) {
+      task->checkpoint_ = mark.text_;
+    }
+  }
+  CountWaiting(aJob);
+}
+
+ProgressRecord
+ProgressOf(const Job& aJob)
+{
+  ProgressRecord record;
+  record.occurrencesDone_.assign(aJob.occurrencesDone_.begin(), aJob.occurrencesDone_.end());
+  for (const auto& [index, occurrence] : aJob.live_) {
+    for (int s = 0; s < static_cast<int>(occurrence.steps_.size()); ++s) {
+      const StepState& step = occurrence.steps_[static_cast<std::size_t>(s)];
+      StepMarks marks{ index, s, std::string(step.tasks_.size(), '0') };
+      for (int i = 0; i < static_cast<int>(step.tasks_.size()); ++i) {
+        const TaskState& task = step.tasks_[static_cast<std::size_t>(i)];
+        if (task.phase_ == TaskPhase::kDone) {
+          marks.done_[static_cast<std::size_t>(i)] = '1';
+          continue;
+        }
+        if (task.failures_ > 0) {
+          record.failures_.push_back({ index, s, i, task.failures_, {} });
+        }
+        if (!task.checkpoint_.empty()) {
+          record.checkpoints_.push_back({ index, s, i, 0, task.checkpoint_ });
+        }
+      }
+      if (step.done_ > 0) {
+        record.done_.push_back(std::move(marks));
+      }
+    }
+  }
+  return record;
+}
+
+TaskState*
+FindTask(Job& aJob, const TaskId& aTask)
+{
+  const auto live = aJob.live_.find(aTask.occurrence_);
+  if (live == aJob.live_.end() || aTask.step_ < 0 || aTask.index_ < 0) {
+    return nullptr;
+  }
+  auto& steps = live->second.steps_;
+  if (static_cast<std::size_t>(aTask.step_) >= steps.size()) {
+    return nullptr;
+  }
+  auto& tasks = steps[static_cast<std::size_t>(aTask.step_)].tasks_;
+  if (static_cast<std::size_t>(aTask.index_) >= tasks.size()) {
+    return nullptr;
+  }
+  return &tasks[static_cast<std::size_t>(aTask.index_)];
+}
+
+bool
+IsUnblocked(const Job& aJob, const Occurrence& aOccurrence, int aStep)
+{
+  const auto& after = SpecOfStep(aJob, aStep).after_;
+  return std::all_of(after.begin(), after.end(), [&aOccurrence](int aEarlier) {
+    return aOccurrence.steps_.at(static_cast<std::size_t>(aEarlier)).IsDone();
+  });
+}
+
+void
+CountWaiting(Job& aJob)
+{
+  aJob.waiting_ = 0;
+  if (IsFinal(aJob.state_) || aJob.ending_) {
+    return;
+  }
+  for (const auto& [index, occurrence] : aJob.live_) {
+    for (int s = 0; s < static_cast<int>(occurrence.steps_.size()); ++s) {
+      const StepState& step = occurrence.steps_[static_cast<std::size_t>(s)];
+      if (!HasWaiting(step) || !IsUnblocked(aJob, occurrence, s)) {
+        continue;
+      }
+      aJob.waiting_ += static_cast<int>(
+        std::count_if(step.tasks_.begin(), step.tasks_.end(), [](const TaskState& aTask) {
+          return aTask.phase_ == TaskPhase::kWaiting;
+        }));
+    }
+  }
+}
+
+void
+Place(Job& aJob,
+      const TaskId& aTask,
+      const std::string& aWorker,
+      std::int64_t aRun,
+      clock::Moment aNow)
+{
+  TaskState* task = FindTask(aJob, aTask);
+  if (task == nullptr || task->phase_ == TaskPhase::kDone) {
+    return;
+  }
+  if (task->phase_ == TaskPhase::kWaiting) {
+    ++aJob.placed_;
+    aJob.waiting_ = std::max(0, aJob.waiting_ - 1);
+  }
+  task->phase_ = TaskPhase::kPlaced;
+  task->run_ = aRun;
+  task->worker_ = aWorker;
+  task->placedAt_ = aNow;
+  aJob.begun_ = true;
+  if (aJob.state_ == JobState::kQueued) {
+    aJob.state_ = JobState::kRunning;
+  }
+}
+
+void
+Unplace(Job& aJob, const TaskId& aTask, std::int64_t aRun, clock::Moment aNotBefore)
+{
+  TaskState* task = FindTask(aJob, aTask);
+  if (task == nullptr || task->phase_ != TaskPhase::kPlaced || task->run_ != aRun) {
+    return;
+  }
+  task->phase_ = TaskPhase::kWaiting;
+  task->worker_.clear();
+  task->notBefore_ = aNotBefore;
+  --aJob.placed_;
+  CountWaiting(aJob);
+}
+
+EndEffect
+ApplyEnd(Job& aJob,
+         const TaskId& aTask,
+         std::int64_t aRun,
+         EndKind aKind,
+         const std::string& aCheckpoint,
+         int aMostAttempts)
+{
+  EndEffect effect;
+  TaskState* task = FindTask(aJob, aTask);
+  if (task == nullptr) {
+    return effect;
+  }
+  effect.known_ = true;
+  if (task->phase_ == TaskPhase::kDone) {
+    return effect;
+  }
+  const StepSpec& spec = SpecOfStep(aJob, aTask.step_);
+  StepState& step =
+    aJob.live_.at(aTask.occurrence_).steps_.at(static_cast<std::size_t>(aTask.step_));
+  if (aKind == EndKind::kDone && !spec.lasting_) {
+    if (spec.gang_) {
+      MarkGangDone(aJob, step);
+    } else {
+      MarkDone(aJob, step, *task);
+    }
+    effect.changed_ = true;
+    CloseIfDone(aJob, aTask.occurrence_, effect);
+    CountWaiting(aJob);
+    return effect;
+  }
+  if (!aCheckpoint.empty()) {
+    task->checkpoint_ = aCheckpoint;
+  }
+  if (aKind == EndKind::kFailed && !spec.lasting_) {
+    ++task->failures_;
+    effect.changed_ = true;
+    effect.failed_ = aMostAttempts > 0 && task->failures_ >= aMostAttempts;
+  }
+  Unplace(aJob, aTask, aRun, {});
+  return effect;
+}
+
+clock::Moment
+ObjectiveOf(const Job& aJob, const Queue* aQueue)
+{
+  const double stretch = aQueue == nullptr ? 1 : aQueue->stretch_;
+  const auto chain =
+    std::chrono::duration_cast<clock::Milliseconds>(aJob.chain_ * std::max(stretch, 1.0));
+  return aJob.arrived_ + chain + clock::Milliseconds(aQueue == nullptr ? 0 : aQueue->objectiveMs_);
+}
+
+} // namespace quetzal::jobs
--- /dev/null
+++ b/src/node/CellClaim.cpp
@@ -0,0 +1,159 @@
+#include "include/quetzal/node/CellClaim.h"
+
+#include "include/quetzal/log/Log.h"
+#include "include/quetzal/membership/Rendezvous.h"
+
+#include <QtCore/QPointer>
+#include <QtCore/QTimer>
+#include <algorithm>
+
+namespace quetzal::node {
+namespace {
+
+constexpr clock::Milliseconds kReadPause{ 100 };
+/** Failed reads after which another host may try. */
+constexpr int kMostAttempts = 30;
+
+} // namespace
+
+CellClaim::CellClaim(store::SharedStore& aStore,
+                     std::string aCell,
+                     jobs::OwnerRecord aSelf,
+                     std::int64_t aLease,
+                     std::int64_t aExpected,
+                     QObject* aParent)
+  : QObject(aParent)
+  , store_(aStore)
+  , cell_(std::move(aCell))
+  , self_(std::move(aSelf))
+  , lease_(aLease)
+  , expected_(aExpected)
+{
+}
+
+void
+CellClaim::Begin()
+{
+  ReadChain();
+}
+
+void
+CellClaim::ReadChain()
+{
+  const QPointer<CellClaim> self(this);
+  store_.Get(cells::ChainKey(cell_), [self](const store::ReadResult& aResult) {
+    if (!self) {
+      return;
+    }
+    if (aResult.status_ != store::Status::kSucceeded) {
+      Q_EMIT self->Failed();
+      return;
+    }
+    jobs::OwnerRecord previous;
+    std::int64_t revision = 0;
+    if (!aResult.items_.empty()) {
+      revision = aResult.items_.front().modRevision_;
+      jobs::Decode(aResult.items_.front().value_, previous);
+    }
+    self->claimed_.inheritance_.roster_ = previous.roster_;
+    self->self_.roster_ = previous.roster_;
+    self->Commit(revision);
+  });
+}
+
+void
+CellClaim::Commit(std::int64_t aChainRevision)
+{
+  jobs::OwnerRecord shown = self_;
+  shown.roster_.clear();
+  store::Change change;
+  change.expected_.push_back({ CellKey(cell_), expected_ });
+  change.expected_.push_back({ cells::ChainKey(cell_), aChainRevision });
+  change.puts_.push_back({ CellKey(cell_), jobs::Encode(shown), lease_ });
+  change.puts_.push_back({ cells::ChainKey(cell_), jobs::Encode(self_), 0 });
+  const QPointer<CellClaim> self(this);
+  store_.Commit(change, [self](const store::CommitResult& aResult) {
+    if (!self) {
+      return;
+    }
+    if (aResult.status_ != store::Status::kSucceeded) {
+      log::Info("claim",
+                "event=claim-failed cell=",
+                self->cell_,
+                " status=",
+                store::ToString(aResult.status_));
+      Q_EMIT self->Failed();
+      return;
+    }
+    self->claimed_.fence_ = aResult.revision_;
+    self->claimed_.keyRevision_ = aResult.revision_;
+    self->ReadJobs();
+  });
+}
+
+void
+CellClaim::ReadJobs()
+{
+  const QPointer<CellClaim> self(this);
+  store::ListAll(store_, cells::kJobPrefix, [self](const store::ReadResult& aResult) {
+    if (!self) {
+      return;
+    }
+    if (aResult.status_ == store::Status::kSucceeded) {
+      self->claimed_.inheritance_.jobs_ = aResult.items_;
+      self->ReadProgress();
+      return;
+    }
+    if (++self->attempts_ > kMostAttempts) {
+      Q_EMIT self->Failed();
+      return;
+    }
+    QTimer::singleShot(kReadPause, self, &CellClaim::ReadJobs);
+  });
+}
+
+void
+CellClaim::ReadProgress()
+{
+  const QPointer<CellClaim> self(this);
+  store::ListAll(
+    store_, cells::ProgressPrefix(cell_), [self](const store::ReadResult& aResult) {
+      if (!self) {
+        return;
+      }
+      if (aResult.status_ == store::Status::kSucceeded) {
+        self->claimed_.inheritance_.progress_ = aResult.items_;
+        Q_EMIT self->Won(self->claimed_);
+        return;
+      }
+      if (++self->attempts_ > kMostAttempts) {
+        Q_EMIT self->Failed();
+        return;
+      }
+      QTimer::singleShot(kReadPause, self, &CellClaim::ReadProgress);
+    });
+}
+
+std::size_t
+ClaimRank(const std::string& aHost,
+          const std::string& aCell,
+          const std::map<std::string, jobs::HostRecord>& aHosts,
+          const std::map<std::string, int>& aCellCounts)
+{
+  std::vector<std::string> names;
+  for (const auto& [name, record] : aHosts) {
+    names.push_back(name);
+  }
+  std::vector<std::string> ranked = membership::OwnersOf(aCell, names, names.size());
+  std::stable_sort(
+    ranked.begin(), ranked.end(), [&](const std::string& aLeft, const std::string& aRight) {
+      const auto left = aCellCounts.find(aLeft);
+      const auto right = aCellCounts.find(aRight);
+      return (left == aCellCounts.end() ? 0 : left->second) <
+             (right == aCellCounts.end() ? 0 : right->second);
+    });
+  const auto place = std::find(ranked.begin(), ranked.end(), aHost);
+  return static_cast<std::size_t>(place - ranked.begin());
+}
+
+} // namespace quetzal::node
--- /dev/null
+++ b/src/node/FleetManager.cpp
@@ -0,0 +1,384 @@
+#include "include/quetzal/node/FleetManager.h"
+
+#include "include/quetzal/log/Log.h"
+
+#include <QtCore/QPointer>
+#include <algorithm>
+
+namespace quetzal::node {
+namespace {
+
+constexpr clock::Milliseconds kInterval{ 150 };
+/** Reports older than this are not acted on. */
+constexpr clock::Milliseconds kReportAge{ 600 };
+/** A list older than this is not acted on. */
+constexpr clock::Milliseconds kListAge{ 800 };
+/** Hosts are not returned in this time after the fleet's first owner began. */
+constexpr clock::Milliseconds kNoReturns{ 8'000 };
+constexpr clock::Milliseconds kRetryPause{ 300 };
+/** After an order without an answer, the host is left alone until the list tells. */
+constexpr clock::Milliseconds kUnsureTime{ 3'000 };
+/** Share of the platform's rate of orders that is used, and the most that may be saved up. */
+constexpr double kOrderShare = 0.8;
+constexpr double kMostRights = 20;
+
+std::string
+WaveKey(std::int64_t aWave)
+{
+  return "quetzal/wave/" + std::to_string(aWave);
+}
+
+clock::Moment
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+FleetManager::FleetManager(fleet::MachinePort& aMachines,
+                           store::SharedStore& aStore,
+                           Feed& aFeed,
+                           const Membership& aMembership,
+                           metrics::Registry& aMetrics,
+                           std::int64_t aFence,
+                           const FleetOptions& aOptions,
+                           QObject* aParent)
+  : QObject(aParent)
+  , machines_(aMachines)
+  , store_(aStore)
+  , feed_(aFeed)
+  , membership_(aMembership)
+  , metrics_(aMetrics)
+  , fence_(aFence)
+  , options_(aOptions)
+  , begun_(Now())
+  , rightsAt_(begun_)
+{
+  connect(&timer_, &QTimer::timeout, this, &FleetManager::Tick);
+  timer_.start(kInterval);
+  log::Info("fleet", "event=fleet-begun fence=", fence_);
+}
+
+void
+FleetManager::Stop()
+{
+  stopped_ = true;
+  timer_.stop();
+}
+
+CellOrders
+FleetManager::OnReport(const cells::CellReport& aReport)
+{
+  reports_[aReport.service_] = { aReport, Now() };
+  CellOrders orders;
+  for (const cells::WorkerReport& worker : aReport.workers_) {
+    if (closed_.contains(worker.id_)) {
+      orders.closed_.insert(worker.id_);
+    }
+    if (vacate_.contains(worker.id_)) {
+      orders.vacate_.insert(worker.id_);
+    }
+  }
+  return orders;
+}
+
+fleet::OrderAuthority
+FleetManager::Authority() const
+{
+  return { membership_.Name(), fence_ };
+}
+
+bool
+FleetManager::MayOrder() const
+{
+  return !stopped_ && membership_.HoldsLeaseSurely() && Now() - begun_ > options_.orderGap_;
+}
+
+void
+FleetManager::Tick()
+{
+  if (listing_ || stopped_) {
+    return;
+  }
+  listing_ = true;
+  const QPointer<FleetManager> self(this);
+  machines_.List([self](const fleet::MachineList& aList) {
+    if (self) {
+      self->listing_ = false;
+      self->OnList(aList);
+    }
+  });
+}
+
+void
+FleetManager::OnList(const fleet::MachineList& aList)
+{
+  if (!aList.complete_) {
+    return;
+  }
+  list_ = aList.machines_;
+  listAt_ = Now();
+  SyncWaves();
+  for (auto& [number, wave] : waves_) {
+    const bool before = wave.completed_;
+    fleet::UpdateWave(wave, list_, options_.maintenanceTime_, listAt_);
+    if (wave.completed_ && !before) {
+      log::Info("fleet", "event=wave-completed wave=", number, " hosts=", wave.machines_.size());
+      ShowWave(number, true);
+    }
+  }
+  Act();
+}
+
+void
+FleetManager::SyncWaves()
+{
+  for (const auto& [number, request] : feed_.Waves()) {
+    if (waves_.contains(number) || readingWaves_.contains(number)) {
+      continue;
+    }
+    readingWaves_.insert(number);
+    const QPointer<FleetManager> self(this);
+    store_.Get(WaveKey(number), [self, number = number](const store::ReadResult& aResult) {
+      if (self) {
+        self->readingWaves_.erase(number);
+        self->ReadWaveRecord(number, aResult);
+      }
+    });
+  }
+}
+
+void
+FleetManager::ReadWaveRecord(std::int64_t aWave, const store::ReadResult& aResult)
+{
+  const auto request = feed_.Waves().find(aWave);
+  if (aResult.status_ != store::Status::kSucceeded || request == feed_.Waves().end()) {
+    return; // Read again at the next list.
+  }
+  std::vector<std::string> done;
+  if (!aResult.items_.empty() && !jobs::Decode(aResult.items_.front().value_, done)) {
+    log::Warn("fleet", "event=wave-record-ignored wave=", aWave);
+  }
+  fleet::WaveProgress wave;
+  wave.request_ = request->second;
+  wave.seenAt_ = Now();
+  for (const std::string& machine : request->second.machines_) {
+    wave.machines_[machine] = {};
+  }
+  for (const std::string& machine : done) {
+    // Ordered by an earlier owner: done once the list shows it up after the usual time.
+    fleet::MaintenanceState& state = wave.machines_[machine];
+    state.phase_ = fleet::MaintenancePhase::kOrdered;
+    state.orderedAt_ = Now();
+    state.answered_ = true;
+  }
+  log::Info("fleet",
+            "event=wave-begun wave=",
+            aWave,
+            " hosts=",
+            wave.machines_.size(),
+            " ordered=",
+            done.size(),
+            " at_once=",
+            wave.request_.mostAtOnce_);
+  waves_[aWave] = std::move(wave);
+  ShowWave(aWave, false);
+}
+
+fleet::FleetView
+FleetManager::View(clock::Moment aNow) const
+{
+  fleet::FleetView view;
+  view.machines_ = list_;
+  view.standbyPool_ = jobs::StandbyPoolOf(feed_.Configuration());
+  view.busyMachines_ = busy_;
+  for (const auto& [name, at] : orderedAt_) {
+    if (aNow - at < kUnsureTime) {
+      view.busyMachines_.insert(name);
+    }
+  }
+  for (const auto& [service, row] : reports_) {
+    fleet::PoolDemand demand;
+    demand.lastingCores_ = row.report_.lastingCores_;
+    demand.backlogWork_ = row.report_.backlogWork_;
+    demand.recentWork_ = row.report_.recentWork_;
+    demand.earlierWork_ = row.report_.earlierWork_;
+    demand.fresh_ = aNow - row.at_ < kReportAge;
+    for (const cells::WorkerReport& worker : row.report_.workers_) {
+      const bool released = worker.closed_ && worker.settled_ && worker.runs_ == 0 &&
+                            closed_.contains(worker.id_);
+      demand.workers_[worker.id_] = { worker.runs_, worker.hasLasting_, released };
+    }
+    view.pools_[service] = std::move(demand);
+  }
+  for (const auto& [number, wave] : waves_) {
+    view.waves_.push_back(wave);
+  }
+  return view;
+}
+
+bool
+FleetManager::TakeOrderRight()
+{
+  const clock::Moment now = Now();
+  const double passed = std::chrono::duration<double>(now - rightsAt_).count();
+  rightsAt_ = now;
+  orderRights_ = std::min(
+    kMostRights, orderRights_ + passed * options_.ordersPerSecond_ * kOrderShare);
+  if (orderRights_ < 1) {
+    return false;
+  }
+  orderRights_ -= 1;
+  return true;
+}
+
+void
+FleetManager::Act()
+{
+  const clock::Moment now = Now();
+  if (!MayOrder() || now - listAt_ > kListAge) {
+    return;
+  }
+  fleet::PlannerOptions planner = options_.planner_;
+  planner.mayPark_ = now - begun_ > kNoReturns;
+  const fleet::FleetPlan plan = fleet::MakePlan(View(now), planner, now);
+  closed_ = plan.closed_;
+  vacate_ = plan.vacate_;
+  for (const fleet::MaintenanceOrder& order : plan.maintenance_) {
+    if (TakeOrderRight()) {
+      Maintain(order);
+    }
+  }
+  for (const fleet::MoveOrder& order : plan.moves_) {
+    if (TakeOrderRight()) {
+      Move(order);
+    }
+  }
+}
+
+void
+FleetManager::Move(const fleet::MoveOrder& aOrder)
+{
+  if (!MayOrder()) {
+    return;
+  }
+  busy_.insert(aOrder.machine_);
+  log::Info("fleet", "event=move host=", aOrder.machine_, " pool=", aOrder.pool_);
+  metrics_.Add("quetzal_moves_total", { { "pool", aOrder.pool_ } });
+  const QPointer<FleetManager> self(this);
+  machines_.Move(
+    aOrder.machine_, aOrder.pool_, Authority(), [self, aOrder](fleet::MachineOrderStatus aStatus) {
+      if (!self) {
+        return;
+      }
+      self->busy_.erase(aOrder.machine_);
+      // The list that was read before the order shows the host where it was.
+      self->orderedAt_[aOrder.machine_] =
+        aStatus == fleet::MachineOrderStatus::kNoAnswer ? Now() : Now() - kUnsureTime + 2 * kInterval;
+      if (aStatus == fleet::MachineOrderStatus::kAccepted) {
+        for (fleet::Machine& machine : self->list_) {
+          if (machine.name_ == aOrder.machine_) {
+            machine.pool_ = aOrder.pool_;
+            machine.state_ = fleet::MachineState::kMoving;
+          }
+        }
+        return;
+      }
+      log::Info(
+        "fleet", "event=move-ended host=", aOrder.machine_, " status=", fleet::ToString(aStatus));
+    });
+}
+
+void
+FleetManager::Maintain(const fleet::MaintenanceOrder& aOrder)
+{
+  if (!MayOrder()) {
+    return;
+  }
+  fleet::WaveProgress& wave = waves_.at(aOrder.wave_);
+  fleet::MaintenanceState& state = wave.machines_.at(aOrder.machine_);
+  state = {};
+  state.phase_ = fleet::MaintenancePhase::kOrdered;
+  state.orderedAt_ = Now();
+  for (const fleet::Machine& machine : list_) {
+    if (machine.name_ == aOrder.machine_) {
+      state.workerBefore_ = machine.worker_;
+    }
+  }
+  busy_.insert(aOrder.machine_);
+  log::Info("fleet", "event=maintain host=", aOrder.machine_, " wave=", aOrder.wave_);
+  const QPointer<FleetManager> self(this);
+  machines_.Maintain(
+    aOrder.machine_, aOrder.wave_, Authority(), [self, aOrder](fleet::MachineOrderStatus aStatus) {
+      if (!self) {
+        return;
+      }
+      self->busy_.erase(aOrder.machine_);
+      fleet::MaintenanceState& ordered =
+        self->waves_.at(aOrder.wave_).machines_.at(aOrder.machine_);
+      using fleet::MachineOrderStatus;
+      switch (aStatus) {
+        case MachineOrderStatus::kAccepted:
+          ordered.answered_ = true;
+          self->StoreWave(self->waves_.at(aOrder.wave_));
+          return;
+        case MachineOrderStatus::kNoAnswer:
+          break; // The list tells whether it was carried out.
+        case MachineOrderStatus::kInvalid:
+        case MachineOrderStatus::kNotOfWave:
+          ordered.phase_ = fleet::MaintenancePhase::kDone;
+          break;
+        default:
+          ordered = {};
+          break;
+      }
+      log::Info("fleet",
+                "event=maintain-ended host=",
+                aOrder.machine_,
+                " wave=",
+                aOrder.wave_,
+                " status=",
+                fleet::ToString(aStatus));
+    });
+}
+
+void
+FleetManager::StoreWave(const fleet::WaveProgress& aWave)
+{
+  std::vector<std::string> ordered;
+  for (const auto& [name, state] : aWave.machines_) {
+    if (state.phase_ == fleet::MaintenancePhase::kDone || state.answered_) {
+      ordered.push_back(name);
+    }
+  }
+  store::Change change;
+  change.puts_.push_back({ WaveKey(aWave.request_.number_), jobs::Encode(ordered), 0 });
+  store_.Commit(change, [](const store::CommitResult& aResult) {
+    if (aResult.status_ != store::Status::kSucceeded) {
+      log::Warn("fleet", "event=wave-not-stored status=", store::ToString(aResult.status_));
+    }
+  });
+}
+
+void
+FleetManager::ShowWave(std::int64_t aWave, bool aCompleted)
+{
+  const auto [key, value] = feed_.WaveStatus(aWave, aCompleted);
+  store::Change change;
+  change.puts_.push_back({ key, value, 0 });
+  const QPointer<FleetManager> self(this);
+  store_.Commit(change, [self, aWave, aCompleted](const store::CommitResult& aResult) {
+    if (self && !self->stopped_ && aResult.status_ != store::Status::kSucceeded) {
+      QTimer::singleShot(kRetryPause, self, [self, aWave, aCompleted] {
+        const auto wave = self->waves_.find(aWave);
+        // An older state must not replace a newer one.
+        if (wave != self->waves_.end() && wave->second.completed_ == aCompleted) {
+          self->ShowWave(aWave, aCompleted);
+        }
+      });
+    }
+  });
+}
+
+} // namespace quetzal::node
--- /dev/null
+++ b/src/node/Membership.cpp
@@ -0,0 +1,211 @@
+#include "include/quetzal/node/Membership.h"
+
+#include "include/quetzal/log/Log.h"
+
+#include <QtCore/QPointer>
+#include <QtCore/QUuid>
+#include <ctime>
+
+namespace quetzal::node {
+namespace {
+
+constexpr clock::Milliseconds kLeaseTerm{ 3'000 };
+constexpr clock::Milliseconds kKeepInterval{ 700 };
+constexpr clock::Milliseconds kGrantPause{ 150 };
+constexpr clock::Milliseconds kWatchWait{ 1'500 };
+constexpr clock::Milliseconds kStoreSilence{ 2'500 };
+/** Taken off the lease's end, which is reckoned from before the renewal was sent. */
+constexpr std::int64_t kLeaseMarginMs = 150;
+
+const std::string kLivePrefix = "quetzal/live/";
+const std::string kHostPrefix = "quetzal/live/host/";
+const std::string kCellPrefix = "quetzal/live/cell/";
+
+/** Returns milliseconds of a clock that goes on while this host is suspended. */
+std::int64_t
+SuspendAwareMs()
+{
+  timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return static_cast<std::int64_t>(time.tv_sec) * 1'000 + time.tv_nsec / 1'000'000;
+}
+
+} // namespace
+
+std::string
+CellKey(const std::string& aCell)
+{
+  return kCellPrefix + aCell;
+}
+
+Membership::Membership(store::SharedStore& aStore,
+                       std::string aName,
+                       jobs::HostRecord aSelf,
+                       QObject* aParent)
+  : QObject(aParent)
+  , store_(aStore)
+  , name_(std::move(aName))
+  , self_(std::move(aSelf))
+  , incarnation_(QUuid::createUuid().toString(QUuid::Id128).toStdString())
+  , watch_(aStore, kLivePrefix, kWatchWait, this)
+{
+  connect(&watch_, &store::PrefixWatch::Changed, this, &Membership::ReadItems);
+  connect(&keepTimer_, &QTimer::timeout, this, &Membership::Keep);
+}
+
+void
+Membership::Start()
+{
+  Grant();
+  watch_.Start();
+  keepTimer_.start(kKeepInterval);
+}
+
+void
+Membership::Grant()
+{
+  if (left_) {
+    return;
+  }
+  const std::int64_t sentMs = SuspendAwareMs();
+  store_.GrantLease(kLeaseTerm, [this, sentMs](const store::LeaseResult& aResult) {
+    if (aResult.status_ != store::Status::kSucceeded || aResult.lease_ == 0) {
+      QTimer::singleShot(kGrantPause, this, &Membership::Grant);
+      return;
+    }
+    lease_ = aResult.lease_;
+    leaseEndMs_ = sentMs + static_cast<std::int64_t>(aResult.term_.count()) - kLeaseMarginMs;
+    lastAnswer_ = std::chrono::steady_clock::now();
+    log::Info("membership", "event=lease-granted lease=", lease_);
+    PutHost();
+    Q_EMIT Changed();
+  });
+}
+
+void
+Membership::Keep()
+{
+  if (lease_ == 0 || left_ || keeping_) {
+    return;
+  }
+  keeping_ = true;
+  const std::int64_t sentMs = SuspendAwareMs();
+  const std::int64_t lease = lease_;
+  store_.KeepLease(lease, [this, sentMs, lease](const store::LeaseResult& aResult) {
+    keeping_ = false;
+    if (lease != lease_) {
+      return;
+    }
+    if (aResult.status_ == store::Status::kSucceeded) {
+      leaseEndMs_ = sentMs + static_cast<std::int64_t>(kLeaseTerm.count()) - kLeaseMarginMs;
+      lastAnswer_ = std::chrono::steady_clock::now();
+    } else if (aResult.status_ == store::Status::kLeaseEnded) {
+      log::Warn("membership", "event=lease-lost lease=", lease_);
+      lease_ = 0;
+      Q_EMIT LeaseLost();
+      Grant();
+    }
+  });
+}
+
+void
+Membership::PutHost()
+{
+  store::Change change;
+  change.puts_.push_back({ kHostPrefix + name_, jobs::Encode(self_), lease_ });
+  const std::int64_t lease = lease_;
+  store_.Commit(change, [this, lease](const store::CommitResult& aResult) {
+    if (aResult.status_ != store::Status::kSucceeded && lease == lease_ && !left_) {
+      QTimer::singleShot(kGrantPause, this, [this, lease] {
+        if (lease == lease_) {
+          PutHost();
+        }
+      });
+    }
+  });
+}
+
+void
+Membership::AnnounceStop()
+{
+  self_.stopping_ = true;
+  if (lease_ != 0) {
+    PutHost();
+  }
+}
+
+void
+Membership::Leave()
+{
+  left_ = true;
+  keepTimer_.stop();
+  watch_.Stop();
+  if (lease_ != 0) {
+    store_.EndLease(lease_, [](const store::LeaseResult& /*aResult*/) {});
+  }
+}
+
+bool
+Membership::HoldsLeaseSurely() const
+{
+  return lease_ != 0 && !left_ && SuspendAwareMs() < leaseEndMs_;
+}
+
+bool
+Membership::ReachesStore() const
+{
+  return std::chrono::steady_clock::now() - lastAnswer_ < kStoreSilence;
+}
+
+void
+Membership::ReadItems()
+{
+  hosts_.clear();
+  owners_.clear();
+  for (const auto& [key, item] : watch_.Items()) {
+    jobs::HostRecord host;
+    jobs::OwnerRecord owner;
+    if (key.starts_with(kHostPrefix) && jobs::Decode(item.value_, host)) {
+      hosts_[key.substr(kHostPrefix.size())] = host;
+    } else if (key.starts_with(kCellPrefix) && jobs::Decode(item.value_, owner)) {
+      owners_[key.substr(kCellPrefix.size())] = { owner, item.modRevision_ };
+    } else {
+      log::Warn("membership", "event=record-ignored key=", key);
+    }
+  }
+  Q_EMIT Changed();
+}
+
+std::map<std::string, jobs::HostRecord>
+Membership::Hosts() const
+{
+  auto hosts = hosts_;
+  std::erase_if(hosts, [](const auto& aRow) { return aRow.second.stopping_; });
+  return hosts;
+}
+
+std::optional<jobs::OwnerRecord>
+Membership::OwnerOf(const std::string& aCell) const
+{
+  const auto owner = owners_.find(aCell);
+  return owner == owners_.end() ? std::nullopt : std::optional(owner->second.first);
+}
+
+std::int64_t
+Membership::CellRevision(const std::string& aCell) const
+{
+  const auto owner = owners_.find(aCell);
+  return owner == owners_.end() ? 0 : owner->second.second;
+}
+
+std::map<std::string, int>
+Membership::CellCounts() const
+{
+  std::map<std::string, int> counts;
+  for (const auto& [cell, owner] : owners_) {
+    ++counts[owner.first.owner_];
+  }
+  return counts;
+}
+
+} // namespace quetzal::node
--- /dev/null
+++ b/src/node/Messages.cpp
@@ -0,0 +1,89 @@
+#include "src/node/Messages.h"
+
+namespace quetzal::node {
+
+JobCall
+ToCall(const JobRequest& aRequest)
+{
+  JobCall call;
+  call.kind_ = static_cast<int>(aRequest.kind_);
+  call.cell_ = aRequest.cell_;
+  call.queue_ = aRequest.queue_;
+  call.id_ = aRequest.id_;
+  call.patienceMs_ = aRequest.patience_.count();
+  if (aRequest.kind_ == RequestKind::kSubmit) {
+    call.job_ = jobs::Encode(jobs::MakeJobRecord(aRequest.cell_, aRequest.queue_, aRequest.spec_, 0));
+  }
+  return call;
+}
+
+JobRequest
+FromCall(const JobCall& aCall)
+{
+  JobRequest request;
+  request.kind_ = static_cast<RequestKind>(aCall.kind_);
+  request.cell_ = aCall.cell_;
+  request.queue_ = aCall.queue_;
+  request.id_ = aCall.id_;
+  request.patience_ = clock::Milliseconds(aCall.patienceMs_);
+  jobs::JobRecord record;
+  if (!aCall.job_.empty() && jobs::Decode(aCall.job_, record)) {
+    request.spec_ = jobs::SpecOf(record);
+  }
+  return request;
+}
+
+JobReply
+ToReply(const cells::Answer& aAnswer)
+{
+  JobReply reply;
+  reply.owned_ = true;
+  reply.verdict_ = static_cast<int>(aAnswer.verdict_);
+  reply.state_ = static_cast<int>(aAnswer.state_);
+  reply.pending_ = aAnswer.pending_;
+  reply.retryAfterMs_ = aAnswer.retryAfter_.count();
+  return reply;
+}
+
+cells::Answer
+FromReply(const JobReply& aReply)
+{
+  cells::Answer answer;
+  answer.verdict_ = static_cast<cells::Verdict>(aReply.verdict_);
+  answer.state_ = static_cast<jobs::JobState>(aReply.state_);
+  answer.pending_ = aReply.pending_;
+  answer.retryAfter_ = clock::Milliseconds(aReply.retryAfterMs_);
+  return answer;
+}
+
+ReportCall
+ToCall(const cells::CellReport& aReport)
+{
+  ReportCall call;
+  call.service_ = aReport.service_;
+  call.lastingCores_ = aReport.lastingCores_;
+  call.backlogWork_ = aReport.backlogWork_;
+  call.recentWork_ = aReport.recentWork_;
+  call.earlierWork_ = aReport.earlierWork_;
+  for (const cells::WorkerReport& row : aReport.workers_) {
+    call.workers_.push_back({ row.id_, row.runs_, row.hasLasting_, row.closed_, row.settled_ });
+  }
+  return call;
+}
+
+cells::CellReport
+FromCall(const ReportCall& aCall)
+{
+  cells::CellReport report;
+  report.service_ = aCall.service_;
+  report.lastingCores_ = aCall.lastingCores_;
+  report.backlogWork_ = aCall.backlogWork_;
+  report.recentWork_ = aCall.recentWork_;
+  report.earlierWork_ = aCall.earlierWork_;
+  for (const WorkerRow& row : aCall.workers_) {
+    report.workers_.push_back({ row.id_, row.runs_, row.hasLasting_, row.closed_, row.settled_ });
+  }
+  return report;
+}
+
+} // namespace quetzal::node
--- /dev/null
+++ b/src/node/NodeProcess.cpp
@@ -0,0 +1,560 @@
+#include "include/quetzal/node/NodeProcess.h"
+
+#include "include/quetzal/log/Log.h"
+#include "src/node/Messages.h"
+
+#include <QtCore/QPointer>
+#include <algorithm>
+
+namespace quetzal::node {
+namespace {
+
+constexpr clock::Milliseconds kTickInterval{ 120 };
+/** At a start, hosts get this long to announce themselves before cells are claimed. */
+constexpr clock::Milliseconds kSettleTime{ 700 };
+/** A host that is next in line claims a vacant cell this much later than the one before it. */
+constexpr clock::Milliseconds kRankDelay{ 600 };
+/** How long a handed-over cell may take to write what it has left. */
+constexpr clock::Milliseconds kHandOverTime{ 900 };
+constexpr clock::Milliseconds kReportTime{ 700 };
+/** Taken off a caller's patience, so that the answer is in time. */
+constexpr clock::Milliseconds kAnswerMargin{ 100 };
+constexpr clock::Milliseconds kVacantRetryAfter{ 1'000 };
+
+clock::Moment
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+cells::Answer
+Refusal()
+{
+  cells::Answer answer;
+  answer.verdict_ = cells::Verdict::kRefused;
+  answer.retryAfter_ = kVacantRetryAfter;
+  return answer;
+}
+
+/** Returns a callback that passes on the first answer only, and answers by itself when the caller's
+ * patience is nearly over. */
+cells::AnswerCallback
+WithinPatience(QObject* aContext, clock::Milliseconds aPatience, cells::AnswerCallback aDone)
+{
+  const auto shared = std::make_shared<cells::AnswerCallback>(std::move(aDone));
+  const auto once = [shared](const cells::Answer& aAnswer) {
+    if (*shared) {
+      const cells::AnswerCallback done = std::exchange(*shared, nullptr);
+      done(aAnswer);
+    }
+  };
+  const auto time = std::max(aPatience - kAnswerMargin, clock::Milliseconds(1));
+  QTimer::singleShot(time, aContext, [once] { once({ cells::Verdict::kUndecided }); });
+  return once;
+}
+
+} // namespace
+
+NodeProcess::NodeProcess(const NodeSettings& aSettings, Ports aPorts, metrics::Registry& aMetrics)
+  : settings_(aSettings)
+  , ports_(std::move(aPorts))
+  , metrics_(aMetrics)
+  , membership_(*ports_.store_,
+                aSettings.name_,
+                { aSettings.peers_.address_,
+                  aSettings.peers_.port_,
+                  aSettings.availabilityZone_,
+                  false },
+                nullptr)
+  , links_(nullptr)
+  , startedAt_(Now())
+{
+  connect(&tickTimer_, &QTimer::timeout, this, &NodeProcess::Tick);
+  connect(&membership_, &Membership::Changed, this, [this] {
+    CheckOwners();
+    ClaimCells();
+  });
+  connect(&membership_, &Membership::LeaseLost, this, &NodeProcess::DropAll);
+  connect(ports_.feed_, &Feed::ConfigurationChanged, this, &NodeProcess::ClaimCells);
+}
+
+void
+NodeProcess::Start()
+{
+  links_.Serve(settings_.peers_, [this](auto aMethod, const auto& aBody, const auto& aReply) {
+    ServePeer(aMethod, aBody, aReply);
+  });
+  membership_.Start();
+  tickTimer_.start(kTickInterval);
+}
+
+void
+NodeProcess::Tick()
+{
+  ClaimCells();
+  for (const auto& [cell, owned] : cells_) {
+    Report(cell);
+  }
+  if (stopping_) {
+    HandOver();
+  }
+}
+
+// --- Ownership -----------------------------------------------------------------------------------
+
+jobs::OwnerRecord
+NodeProcess::SelfRecord() const
+{
+  jobs::OwnerRecord record;
+  record.owner_ = settings_.name_;
+  record.address_ = settings_.peers_.address_;
+  record.port_ = settings_.peers_.port_;
+  record.incarnation_ = membership_.Incarnation();
+  return record;
+}
+
+std::vector<std::string>
+NodeProcess::WantedCells() const
+{
+  std::vector<std::string> wanted{ kFleetCell };
+  for (const jobs::Service& service : ports_.feed_->Configuration().services_) {
+    if (!service.standby_) {
+      wanted.push_back(service.name_);
+    }
+  }
+  return wanted;
+}
+
+void
+NodeProcess::ClaimCells()
+{
+  const clock::Moment now = Now();
+  if (stopping_ || !ports_.feed_->HasConfiguration() || !membership_.IsKnown() ||
+      !membership_.HoldsLeaseSurely() || now - startedAt_ < kSettleTime) {
+    return;
+  }
+  for (const std::string& cell : WantedCells()) {
+    const bool mine = cell == kFleetCell ? fleet_ != nullptr : cells_.contains(cell);
+    if (mine || claims_.contains(cell)) {
+      continue;
+    }
+    const auto owner = membership_.OwnerOf(cell);
+    if (owner && owner->owner_ != settings_.name_) {
+      vacantSince_.erase(cell);
+      continue;
+    }
+    if (owner) {
+      Claim(cell); // An earlier life of this process had it, or an earlier lease.
+      continue;
+    }
+    const auto since = vacantSince_.try_emplace(cell, now).first->second;
+    std::map<std::string, int> counts = membership_.CellCounts();
+    counts[settings_.name_] += static_cast<int>(claims_.size());
+    const std::size_t rank =
+      ClaimRank(settings_.name_, cell, membership_.Hosts(), counts);
+    if (now - since >= static_cast<int>(rank) * kRankDelay) {
+      Claim(cell);
+    }
+  }
+}
+
+void
+NodeProcess::Claim(const std::string& aCell)
+{
+  log::Info("node",
+            "event=claim cell=",
+            aCell,
+            " expected=",
+            membership_.CellRevision(aCell),
+            " lease=",
+            membership_.Lease());
+  auto* claim = new CellClaim(*ports_.store_,
+                              aCell,
+                              SelfRecord(),
+                              membership_.Lease(),
+                              membership_.CellRevision(aCell),
+                              this);
+  claims_[aCell] = claim;
+  if (aCell != kFleetCell) {
+    ports_.feed_->FollowWorkers(true);
+  }
+  connect(claim, &CellClaim::Won, this, [this, aCell](const ClaimedCell& aClaimed) {
+    if (const auto claimed = claims_.extract(aCell); !claimed.empty()) {
+      claimed.mapped()->deleteLater();
+      OnWon(aCell, aClaimed);
+    }
+  });
+  connect(claim, &CellClaim::Failed, this, [this, aCell] {
+    if (const auto failed = claims_.extract(aCell); !failed.empty()) {
+      failed.mapped()->deleteLater();
+      vacantSince_[aCell] = Now();
+    }
+  });
+  claim->Begin();
+}
+
+void
+NodeProcess::OnWon(const std::string& aCell, const ClaimedCell& aClaimed)
+{
+  vacantSince_.erase(aCell);
+  metrics_.Add("quetzal_cells_won_total", { { "cell", aCell } });
+  if (aCell == kFleetCell) {
+    BeginFleet(aClaimed.fence_, aClaimed.keyRevision_);
+    return;
+  }
+  cells::CellContext context;
+  context.store_ = ports_.store_;
+  context.feed_ = ports_.feed_;
+  context.makeWorker_ = ports_.makeWorker_;
+  context.advice_ = ports_.advice_;
+  context.metrics_ = &metrics_;
+  context.times_ = settings_.times_;
+  context.retention_ = settings_.retention_;
+  context.awayNotice_ = settings_.awayNotice_;
+  auto* cell = new cells::Cell(
+    aCell, context, SelfRecord(), aClaimed.fence_, aClaimed.inheritance_, this);
+  cells_[aCell] = { cell, aClaimed.keyRevision_, false };
+  connect(cell, &cells::Cell::Lost, this, [this, aCell] { DropCell(aCell); });
+}
+
+void
+NodeProcess::BeginFleet(std::int64_t aFence, std::int64_t aKeyRevision)
+{
+  FleetOptions options;
+  options.orderGap_ = settings_.fleetOrderGap_ + clock::Milliseconds(200);
+  options.maintenanceTime_ = settings_.maintenanceTime_;
+  options.ordersPerSecond_ = settings_.machineOrdersPerSecond_;
+  fleetKeyRevision_ = aKeyRevision;
+  fleet_ = new FleetManager(*ports_.machines_,
+                            *ports_.store_,
+                            *ports_.feed_,
+                            membership_,
+                            metrics_,
+                            aFence,
+                            options,
+                            this);
+}
+
+void
+NodeProcess::DropCell(const std::string& aCell)
+{
+  const auto owned = cells_.extract(aCell);
+  if (owned.empty()) {
+    return;
+  }
+  log::Warn("node", "event=cell-dropped cell=", aCell);
+  owned.mapped().cell_->Abandon();
+  owned.mapped().cell_->deleteLater();
+  if (cells_.empty() && claims_.empty()) {
+    ports_.feed_->FollowWorkers(false);
+  }
+}
+
+void
+NodeProcess::DropAll()
+{
+  while (!cells_.empty()) {
+    DropCell(std::string(cells_.begin()->first));
+  }
+  for (const auto& [cell, claim] : claims_) {
+    claim->disconnect(this);
+    claim->deleteLater();
+  }
+  claims_.clear();
+  if (fleet_ != nullptr) {
+    fleet_->Stop();
+    fleet_->deleteLater();
+    fleet_ = nullptr;
+  }
+}
+
+void
+NodeProcess::CheckOwners()
+{
+  std::vector<std::string> lost;
+  for (const auto& [cell, owned] : cells_) {
+    if (membership_.CellRevision(cell) > owned.keyRevision_) {
+      lost.push_back(cell);
+    }
+  }
+  for (const std::string& cell : lost) {
+    DropCell(cell);
+  }
+  if (fleet_ != nullptr && membership_.CellRevision(kFleetCell) > fleetKeyRevision_) {
+    log::Warn("node", "event=fleet-dropped");
+    fleet_->Stop();
+    fleet_->deleteLater();
+    fleet_ = nullptr;
+  }
+}
+
+// --- Callers -------------------------------------------------------------------------------------
+
+const jobs::Configuration*
+NodeProcess::Configuration() const
+{
+  return ports_.feed_->HasConfiguration() ? &ports_.feed_->Configuration() : nullptr;
+}
+
+bool
+NodeProcess::IsReady() const
+{
+  return !stopping_ && ports_.feed_->HasConfiguration() && membership_.IsKnown() &&
+         membership_.ReachesStore();
+}
+
+void
+NodeProcess::Handle(const JobRequest& aRequest, cells::AnswerCallback aDone)
+{
+  cells::AnswerCallback done = WithinPatience(this, aRequest.patience_, std::move(aDone));
+  const bool asksForOne =
+    aRequest.kind_ == RequestKind::kShow || aRequest.kind_ == RequestKind::kCancel;
+  // A job stays in the cell that took it, though its queue may have moved: the store knows which.
+  const cells::AnswerCallback checked = [this, aRequest, done, asksForOne](const auto& aAnswer) {
+    if (asksForOne && aAnswer.verdict_ == cells::Verdict::kUnknownJob) {
+      HandleFromStore(aRequest, done, false);
+      return;
+    }
+    done(aAnswer);
+  };
+  if (const auto cell = cells_.find(aRequest.cell_); cell != cells_.end()) {
+    HandleLocally(*cell->second.cell_, aRequest, checked);
+    return;
+  }
+  const auto owner = membership_.OwnerOf(aRequest.cell_);
+  if (owner && owner->owner_ != settings_.name_) {
+    HandleAtPeer(*owner, aRequest, checked);
+    return;
+  }
+  if (aRequest.kind_ == RequestKind::kShow) {
+    HandleFromStore(aRequest, done, true);
+    return;
+  }
+  done(Refusal());
+}
+
+void
+NodeProcess::HandleLocally(cells::Cell& aCell,
+                           const JobRequest& aRequest,
+                           cells::AnswerCallback aDone)
+{
+  switch (aRequest.kind_) {
+    case RequestKind::kSubmit:
+      aCell.Submit(aRequest.queue_, aRequest.id_, aRequest.spec_, std::move(aDone));
+      return;
+    case RequestKind::kShow:
+      aCell.Show(aRequest.id_, aDone);
+      return;
+    case RequestKind::kCancel:
+      aCell.Cancel(aRequest.id_, std::move(aDone));
+      return;
+    case RequestKind::kCount:
+      cells::Answer answer;
+      answer.verdict_ = cells::Verdict::kCounted;
+      answer.pending_ = aCell.PendingOf(aRequest.queue_);
+      aDone(answer);
+      return;
+  }
+}
+
+void
+NodeProcess::HandleAtPeer(const jobs::OwnerRecord& aOwner,
+                          const JobRequest& aRequest,
+                          cells::AnswerCallback aDone)
+{
+  const settings::Endpoint peer{ aOwner.address_, static_cast<std::uint16_t>(aOwner.port_) };
+  links_.Call(peer,
+              PeerMethod::kJob,
+              jobs::Encode(ToCall(aRequest)),
+              aRequest.patience_,
+              [this, aRequest, aDone](const CallResult& aResult) {
+                JobReply reply;
+                const bool answered = aResult.failure_ == CallFailure::kNone &&
+                                      jobs::Decode(aResult.body_, reply) && reply.owned_;
+                if (answered) {
+                  aDone(FromReply(reply));
+                  return;
+                }
+                if (aRequest.kind_ == RequestKind::kShow) {
+                  HandleFromStore(aRequest, aDone, true);
+                  return;
+                }
+                if (aResult.failure_ == CallFailure::kNoAnswer) {
+                  log::Warn("node",
+                            "event=outcome-unknown job=",
+                            aRequest.id_,
+                            " cell=",
+                            aRequest.cell_);
+                  aDone({ cells::Verdict::kUndecided });
+                  return;
+                }
+                aDone(Refusal());
+              });
+}
+
+void
+NodeProcess::HandleFromStore(const JobRequest& aRequest,
+                             const cells::AnswerCallback& aDone,
+                             bool aFinal)
+{
+  const QPointer<NodeProcess> self(this);
+  ports_.store_->Get(
+    cells::JobKey(aRequest.id_), [self, aRequest, aDone, aFinal](const store::ReadResult& aResult) {
+      if (!self || aResult.status_ != store::Status::kSucceeded) {
+        aDone({ cells::Verdict::kUndecided });
+        return;
+      }
+      jobs::JobRecord record;
+      if (aResult.items_.empty() || !jobs::Decode(aResult.items_.front().value_, record)) {
+        aDone({ cells::Verdict::kUnknownJob });
+        return;
+      }
+      const auto state = static_cast<jobs::JobState>(record.state_);
+      if (!jobs::IsFinal(state) && !aFinal && record.cell_ != aRequest.cell_) {
+        JobRequest moved = aRequest;
+        moved.cell_ = record.cell_;
+        self->Handle(moved, aDone);
+        return;
+      }
+      if (aRequest.kind_ == RequestKind::kShow) {
+        aDone({ cells::Verdict::kShown, state });
+        return;
+      }
+      aDone({ jobs::IsFinal(state) ? cells::Verdict::kCancelled : cells::Verdict::kUndecided });
+    });
+}
+
+// --- Peers ---------------------------------------------------------------------------------------
+
+void
+NodeProcess::ServePeer(PeerMethod aMethod,
+                       const std::string& aBody,
+                       const std::function<void(const std::string&)>& aReply)
+{
+  if (aMethod == PeerMethod::kReport) {
+    ReportCall call;
+    ReportReply reply;
+    if (fleet_ != nullptr && jobs::Decode(aBody, call)) {
+      const CellOrders orders = fleet_->OnReport(FromCall(call));
+      reply = { true, orders.closed_, orders.vacate_ };
+    }
+    aReply(jobs::Encode(reply));
+    return;
+  }
+  JobCall call;
+  if (!jobs::Decode(aBody, call)) {
+    log::Warn("node", "event=call-ignored bytes=", aBody.size());
+    return;
+  }
+  const auto cell = cells_.find(call.cell_);
+  if (cell == cells_.end()) {
+    aReply(jobs::Encode(JobReply{}));
+    return;
+  }
+  HandleLocally(*cell->second.cell_, FromCall(call), [aReply](const cells::Answer& aAnswer) {
+    aReply(jobs::Encode(ToReply(aAnswer)));
+  });
+}
+
+void
+NodeProcess::Report(const std::string& aCell)
+{
+  Owned& owned = cells_.at(aCell);
+  if (owned.reporting_) {
+    return;
+  }
+  const cells::CellReport report = owned.cell_->Report();
+  if (fleet_ != nullptr) {
+    ApplyOrders(aCell, fleet_->OnReport(report));
+    return;
+  }
+  const auto owner = membership_.OwnerOf(kFleetCell);
+  if (!owner || owner->owner_ == settings_.name_) {
+    return;
+  }
+  owned.reporting_ = true;
+  const settings::Endpoint peer{ owner->address_, static_cast<std::uint16_t>(owner->port_) };
+  links_.Call(peer,
+              PeerMethod::kReport,
+              jobs::Encode(ToCall(report)),
+              kReportTime,
+              [this, aCell](const CallResult& aResult) {
+                const auto row = cells_.find(aCell);
+                if (row == cells_.end()) {
+                  return;
+                }
+                row->second.reporting_ = false;
+                ReportReply reply;
+                if (aResult.failure_ == CallFailure::kNone &&
+                    jobs::Decode(aResult.body_, reply) && reply.owned_) {
+                  ApplyOrders(aCell, { reply.closed_, reply.vacate_ });
+                }
+              });
+}
+
+void
+NodeProcess::ApplyOrders(const std::string& aCell, const CellOrders& aOrders)
+{
+  cells::Cell& cell = *cells_.at(aCell).cell_;
+  cell.CloseWorkers(aOrders.closed_);
+  for (const std::string& worker : aOrders.vacate_) {
+    cell.Vacate(worker);
+  }
+}
+
+// --- Stopping ------------------------------------------------------------------------------------
+
+void
+NodeProcess::Stop()
+{
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stopBegun_ = Now();
+  log::Info("node", "event=stop cells=", cells_.size(), " fleet=", fleet_ != nullptr);
+  membership_.AnnounceStop();
+  for (const auto& [name, owned] : cells_) {
+    owned.cell_->StopPlacing();
+  }
+  HandOver();
+}
+
+void
+NodeProcess::HandOver()
+{
+  const bool late = Now() - stopBegun_ > kHandOverTime;
+  if (fleet_ != nullptr) {
+    Release(CellKey(kFleetCell), fleetKeyRevision_);
+    fleet_->Stop();
+    fleet_->deleteLater();
+    fleet_ = nullptr;
+  }
+  std::vector<std::string> quiet;
+  for (const auto& [name, owned] : cells_) {
+    if (owned.cell_->IsQuiet() || late) {
+      quiet.push_back(name);
+    }
+  }
+  for (const std::string& name : quiet) {
+    Release(CellKey(name), cells_.at(name).keyRevision_);
+    DropCell(name);
+  }
+  if (cells_.empty() && !handedOver_) {
+    handedOver_ = true;
+    Q_EMIT HandedOver();
+  }
+}
+
+void
+NodeProcess::Release(const std::string& aKey, std::int64_t aRevision)
+{
+  store::Change change;
+  change.expected_.push_back({ aKey, aRevision });
+  change.removes_.push_back(aKey);
+  ports_.store_->Commit(change, [aKey](const store::CommitResult& aResult) {
+    log::Info("node", "event=released key=", aKey, " status=", store::ToString(aResult.status_));
+  });
+}
+
+} // namespace quetzal::node
--- /dev/null
+++ b/src/node/PeerLinks.cpp
@@ -0,0 +1,240 @@
+#include "include/quetzal/node/PeerLinks.h"
+
+#include "include/quetzal/log/Log.h"
+#include "include/quetzal/wire/Frame.h"
+
+#include <QtCore/QPointer>
+#include <QtNetwork/QHostAddress>
+#include <QtNetwork/QTcpSocket>
+#include <msgpack.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace quetzal::node {
+namespace {
+
+constexpr clock::Milliseconds kCheckInterval{ 100 };
+/** Bound on connecting, and on bytes that the other host does not acknowledge. */
+constexpr clock::Milliseconds kSilence{ 900 };
+
+/** One call or its answer. */
+struct Envelope
+{
+  std::int64_t number_ = 0;
+  int method_ = 0; ///< 0 marks an answer.
+  std::string body_;
+
+  MSGPACK_DEFINE_ARRAY(number_, method_, body_)
+};
+
+std::string
+Pack(const Envelope& aEnvelope)
+{
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, aEnvelope);
+  return { buffer.data(), buffer.size() };
+}
+
+std::optional<Envelope>
+Unpack(const std::string& aPayload)
+{
+  try {
+    Envelope envelope;
+    msgpack::unpack(aPayload.data(), aPayload.size()).get().convert(envelope);
+    return envelope;
+  } catch (const std::exception& error) {
+    log::Warn("peers", "event=message-ignored error=", error.what());
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+struct PeerLinks::Peer
+{
+  struct Row
+  {
+    CallHandler done_;
+    clock::Moment expires_;
+  };
+
+  QTcpSocket* socket_ = nullptr;
+  QByteArray pending_;
+  QByteArray unsent_; ///< Frames that wait for the connection.
+  std::map<std::int64_t, Row> calls_;
+  bool connected_ = false;
+  clock::Moment begun_{};
+};
+
+PeerLinks::PeerLinks(QObject* aParent)
+  : QObject(aParent)
+  , server_(this)
+{
+  connect(&timer_, &QTimer::timeout, this, &PeerLinks::Expire);
+  connect(&server_, &wire::LinkServer::LinkArrived, this, [this](wire::ServerLink* aLink) {
+    const QPointer<wire::ServerLink> link(aLink);
+    connect(aLink, &wire::ServerLink::MessageArrived, this, [this, link](const auto& aPayload) {
+      const auto call = Unpack(aPayload);
+      if (!call || !handler_) {
+        return;
+      }
+      handler_(static_cast<PeerMethod>(call->method_),
+               call->body_,
+               [link, number = call->number_](const std::string& aBody) {
+                 if (link) {
+                   link->Send(Pack({ number, 0, aBody }));
+                 }
+               });
+    });
+  });
+}
+
+PeerLinks::~PeerLinks() = default;
+
+void
+PeerLinks::Serve(const settings::Endpoint& aEndpoint, CallServer aServer)
+{
+  handler_ = std::move(aServer);
+  server_.Listen(aEndpoint);
+}
+
+PeerLinks::Peer&
+PeerLinks::PeerAt(const settings::Endpoint& aEndpoint)
+{
+  std::unique_ptr<Peer>& slot = peers_[aEndpoint];
+  if (!slot) {
+    slot = std::make_unique<Peer>();
+  }
+  Peer& peer = *slot;
+  if (peer.socket_ != nullptr) {
+    return peer;
+  }
+  auto* socket = new QTcpSocket(this);
+  peer.socket_ = socket;
+  peer.begun_ = std::chrono::steady_clock::now();
+  connect(socket, &QTcpSocket::connected, this, [&peer, socket] {
+    const auto silence = static_cast<unsigned>(kSilence.count());
+    ::setsockopt(static_cast<int>(socket->socketDescriptor()),
+                 IPPROTO_TCP,
+                 TCP_USER_TIMEOUT,
+                 &silence,
+                 sizeof(silence));
+    peer.connected_ = true;
+    socket->write(peer.unsent_);
+    peer.unsent_.clear();
+  });
+  connect(socket, &QTcpSocket::readyRead, this, [this, &peer] { OnBytes(peer); });
+  connect(socket, &QTcpSocket::disconnected, this, [this, &peer] { Drop(peer); });
+  connect(socket, &QTcpSocket::errorOccurred, this, [this, &peer] { Drop(peer); });
+  socket->connectToHost(QHostAddress(QString::fromStdString(aEndpoint.address_)),
+                        aEndpoint.port_);
+  socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  return peer;
+}
+
+void
+PeerLinks::Call(const settings::Endpoint& aPeer,
+                PeerMethod aMethod,
+                const std::string& aBody,
+                clock::Milliseconds aTime,
+                CallHandler aDone)
+{
+  Peer& peer = PeerAt(aPeer);
+  const std::int64_t number = nextCall_++;
+  peer.calls_[number] = { std::move(aDone), std::chrono::steady_clock::now() + aTime };
+  const QByteArray frame = wire::MakeFrame(Pack({ number, static_cast<int>(aMethod), aBody }));
+  if (peer.connected_) {
+    peer.socket_->write(frame);
+  } else {
+    peer.unsent_ += frame;
+  }
+  if (!timer_.isActive()) {
+    timer_.start(kCheckInterval);
+  }
+}
+
+void
+PeerLinks::OnBytes(Peer& aPeer)
+{
+  if (aPeer.socket_ == nullptr) {
+    return;
+  }
+  aPeer.pending_ += aPeer.socket_->readAll();
+  try {
+    while (const auto payload = wire::TakeFrame(aPeer.pending_)) {
+      const auto answer = Unpack(*payload);
+      if (!answer) {
+        continue;
+      }
+      if (auto row = aPeer.calls_.extract(answer->number_); !row.empty()) {
+        row.mapped().done_({ CallFailure::kNone, answer->body_ });
+      }
+    }
+  } catch (const wire::WireError& error) {
+    log::Warn("peers", "event=connection-dropped error=", error.what());
+    Drop(aPeer);
+  }
+}
+
+void
+PeerLinks::Drop(Peer& aPeer)
+{
+  if (aPeer.socket_ == nullptr) {
+    return;
+  }
+  QTcpSocket* socket = aPeer.socket_;
+  aPeer.socket_ = nullptr;
+  socket->disconnect(this);
+  socket->abort();
+  socket->deleteLater();
+  const CallFailure failure = aPeer.connected_ ? CallFailure::kNoAnswer : CallFailure::kNotSent;
+  aPeer.connected_ = false;
+  aPeer.pending_.clear();
+  aPeer.unsent_.clear();
+  std::map<std::int64_t, Peer::Row> calls;
+  calls.swap(aPeer.calls_);
+  for (const auto& [number, row] : calls) {
+    row.done_({ failure, {} });
+  }
+}
+
+void
+PeerLinks::Expire()
+{
+  const clock::Moment now = std::chrono::steady_clock::now();
+  bool waiting = false;
+  for (auto& [endpoint, peer] : peers_) {
+    if (peer->socket_ != nullptr && !peer->connected_ && now - peer->begun_ > kSilence) {
+      Drop(*peer);
+      continue;
+    }
+    std::vector<CallHandler> late;
+    for (auto row = peer->calls_.begin(); row != peer->calls_.end();) {
+      if (row->second.expires_ > now) {
+        ++row;
+        continue;
+      }
+      late.push_back(std::move(row->second.done_));
+      row = peer->calls_.erase(row);
+    }
+    if (!late.empty()) {
+      log::Warn("peers",
+                "event=call-timeout peer=",
+                settings::ToString(endpoint),
+                " calls=",
+                late.size());
+      // The connection may have fallen silent for good; the next call makes a new one.
+      Drop(*peer);
+    }
+    for (const CallHandler& done : late) {
+      done({ CallFailure::kNoAnswer, {} });
+    }
+    waiting = waiting || !peer->calls_.empty();
+  }
+  if (!waiting) {
+    timer_.stop();
+  }
+}
+
+} // namespace quetzal::node
