--- a/include/quetzal/jobs/JobTable.h
+++ b/include/quetzal/jobs/JobTable.h
@@ -27,6 +27,7 @@
   int failures_ = 0;
   std::string checkpoint_;
   std::string worker_;
+  bool leaving_ = false; ///< Its run is being ended so that it can start elsewhere.
   clock::Moment placedAt_{};
   clock::Moment notBefore_{}; ///< Not placed again before this moment.
 };
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -1030,7 +1030,6 @@
     return;
   }
   std::vector<jobs::TaskId> toStop;
-  std::map<std::string, int> leaving;
   const clock::Moment now = Now();
   for (const auto& [task, slot] : row->second.worker_->Book().slots_) {
     const auto job = jobs_.find(task.job_);
@@ -1044,12 +1043,11 @@
                           .tasks_;
     const int away = static_cast<int>(
       std::count_if(tasks.begin(), tasks.end(), [&](const jobs::TaskState& aTask) {
-        return aTask.phase_ != jobs::TaskPhase::kPlaced ||
+        return aTask.phase_ != jobs::TaskPhase::kPlaced || aTask.leaving_ ||
                now - aTask.placedAt_ < context_.awayNotice_;
       }));
-    int& count = leaving[StepName(task.job_, task.occurrence_, task.step_)];
-    if (away + count < std::max(spec.mayMiss_, 1)) {
-      ++count;
+    if (away < std::max(spec.mayMiss_, 1)) {
+      jobs::FindTask(job->second, task)->leaving_ = true;
       toStop.push_back(task);
     }
   }
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -248,6 +248,7 @@
     aJob.waiting_ = std::max(0, aJob.waiting_ - 1);
   }
   task->phase_ = TaskPhase::kPlaced;
+  task->leaving_ = false;
   task->run_ = aRun;
   task->worker_ = aWorker;
   task->placedAt_ = aNow;
