--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -49,6 +49,7 @@
   workers::AdvicePort* advice_ = nullptr; ///< Null where there is none.
   metrics::Registry* metrics_ = nullptr;
   LeaseTimes times_;
+  TenureClock tenure_;
   clock::Milliseconds retention_{ 120'000 }; ///< Ended jobs are shown at least this long.
   clock::Milliseconds awayNotice_{ 4'500 };  ///< A task taken away counts as away this long.
 };
@@ -212,7 +213,6 @@
   std::set<std::string> closed_;
   std::deque<std::pair<clock::Moment, double>> arrivals_;
   clock::Moment begun_;
-  clock::Moment firstAnswer_{};
   bool handingOver_ = false;
   bool lost_ = false;
   QTimer placeTimer_;
--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -15,6 +15,13 @@
   clock::Milliseconds startWindow_{ 1'000 }; ///< A start that arrives later does nothing.
 };
 
+/** Returns how long ago the cell may have got another owner at the earliest; 0: not yet. */
+using TenureClock = std::function<clock::Milliseconds()>;
+
+/** An owner whose tenure may be over goes on renewing leases and starting tasks for this long. A
+ * successor that does not reach a worker waits it out. */
+inline constexpr clock::Milliseconds kTenureGrace{ 2'000 };
+
 /** One worker of a cell: carries out orders, renews its lease while it runs something, and reports
  * ends. It owns the worker's port and book. */
 class Worker : public QObject
@@ -26,6 +33,7 @@
          std::unique_ptr<workers::WorkerPort> aPort,
          std::int64_t aFence,
          const LeaseTimes& aTimes,
+         TenureClock aTenure,
          QObject* aParent);
 
   /** Looks at the worker for the first time. */
@@ -121,6 +129,7 @@
   std::unique_ptr<workers::WorkerPort> port_;
   std::int64_t fence_;
   LeaseTimes times_;
+  TenureClock tenure_;
   workers::Book book_;
   QTimer timer_;
   bool looking_ = false;
--- a/include/quetzal/node/Membership.h
+++ b/include/quetzal/node/Membership.h
@@ -49,6 +49,10 @@
    * the time that this host is suspended. */
   bool HoldsLeaseSurely() const;
 
+  /** Returns how long ago the store may have ended the lease at the earliest; 0 while it is surely
+   * held. */
+  clock::Milliseconds LapsedFor() const;
+
   /** Tells whether the store has answered a renewal lately. */
   bool ReachesStore() const;
 
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -15,8 +15,6 @@
 constexpr clock::Milliseconds kEndDelay{ 12 };
 constexpr clock::Milliseconds kPlaceDelay{ 8 };
 constexpr clock::Milliseconds kHouseInterval{ 200 };
-/** In this time after a worker has confirmed a new fence, every other owner has met it too. */
-constexpr clock::Milliseconds kFenceSpread{ 2'200 };
 constexpr clock::Milliseconds kBlindSlack{ 300 };
 /** How long a task waits after a worker refused its start. */
 constexpr clock::Milliseconds kRefusedPause{ 60 };
@@ -244,14 +242,12 @@
                             context_.makeWorker_(aRegistration.id_, aRegistration.endpoint_),
                             fence_,
                             context_.times_,
+                            context_.tenure_,
                             this);
   const std::string id = aRegistration.id_;
   workers_[id].worker_ = worker;
   worker->SetClosed(closed_.contains(id));
   connect(worker, &Worker::Looked, this, [this] {
-    if (firstAnswer_ == clock::Moment{}) {
-      firstAnswer_ = Now();
-    }
     AskRoster();
     KickPlacing();
   });
@@ -325,8 +321,8 @@
   const clock::Moment now = Now();
   const auto lease = std::chrono::duration_cast<clock::Milliseconds>(
     context_.times_.lease_ * (1 + workers::kClockSlowness));
-  const clock::Moment lastRenewal = std::max(begun_, firstAnswer_) + kFenceSpread;
-  if (now < lastRenewal + lease + kBlindSlack) {
+  // The predecessor's tenure had ended before this owner's began.
+  if (now < begun_ + kTenureGrace + lease + kBlindSlack) {
     return;
   }
   for (auto& [id, row] : workers_) {
@@ -770,7 +766,7 @@
 void
 Cell::PlaceAll()
 {
-  if (handingOver_ || lost_) {
+  if (handingOver_ || lost_ || context_.tenure_() >= kTenureGrace) {
     return;
   }
   const clock::Moment now = Now();
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -27,12 +27,14 @@
                std::unique_ptr<workers::WorkerPort> aPort,
                std::int64_t aFence,
                const LeaseTimes& aTimes,
+               TenureClock aTenure,
                QObject* aParent)
   : QObject(aParent)
   , registration_(aRegistration)
   , port_(std::move(aPort))
   , fence_(aFence)
   , times_(aTimes)
+  , tenure_(std::move(aTenure))
 {
   timer_.setSingleShot(true);
   connect(&timer_, &QTimer::timeout, this, &Worker::OnTimer);
@@ -229,7 +231,9 @@
 Worker::OnTimer()
 {
   const clock::Moment now = std::chrono::steady_clock::now();
-  if (silent_ && !book_.slots_.empty() && workers::HasSurelyLapsed(book_, now)) {
+  // Once the cell may have another owner, that one may have renewed the lease.
+  const bool isOwner = tenure_() == clock::Milliseconds(0);
+  if (silent_ && isOwner && !book_.slots_.empty() && workers::HasSurelyLapsed(book_, now)) {
     log::Warn("worker",
               "event=lease-lapsed worker=",
               registration_.id_,
@@ -254,7 +258,8 @@
   workers::HoldOrder order;
   order.fence_ = fence_;
   order.forgetUpTo_ = workers::RecordedUpTo(book_);
-  if (book_.clock_ && !book_.slots_.empty() && !silent_) {
+  const bool mayRenew = tenure_() < kTenureGrace;
+  if (book_.clock_ && !book_.slots_.empty() && !silent_ && mayRenew) {
     order.deadlineMs_ = workers::ClockAt(book_, now) + static_cast<std::int64_t>(times_.lease_.count());
     book_.grantedMs_ = std::max(book_.grantedMs_, *order.deadlineMs_);
     order.wait_ = book_.unrecorded_.empty() ? kLookWait : kLookWait / 10;
--- a/src/node/Membership.cpp
+++ b/src/node/Membership.cpp
@@ -4,6 +4,7 @@
 
 #include <QtCore/QPointer>
 #include <QtCore/QUuid>
+#include <algorithm>
 #include <ctime>
 
 namespace quetzal::node {
@@ -151,6 +152,12 @@
   return lease_ != 0 && !left_ && SuspendAwareMs() < leaseEndMs_;
 }
 
+clock::Milliseconds
+Membership::LapsedFor() const
+{
+  return clock::Milliseconds(std::max<std::int64_t>(SuspendAwareMs() - leaseEndMs_, 0));
+}
+
 bool
 Membership::ReachesStore() const
 {
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -209,6 +209,7 @@
   context.advice_ = ports_.advice_;
   context.metrics_ = &metrics_;
   context.times_ = settings_.times_;
+  context.tenure_ = [this] { return membership_.LapsedFor(); };
   context.retention_ = settings_.retention_;
   context.awayNotice_ = settings_.awayNotice_;
   auto* cell = new cells::Cell(
