--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -192,6 +192,8 @@
   void Housekeep();
   void RemoveExpired();
   int MostAttempts(const jobs::Job& aJob) const;
+  bool IsAtWork(const jobs::TaskState& aState, const jobs::TaskId& aTask) const;
+  bool MayTakeAway(const jobs::Job& aJob, const jobs::TaskId& aTask) const;
 
   std::string service_;
   CellContext context_;
--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -57,6 +57,9 @@
   /** Tells whether a look under this owner's fence has been answered. */
   bool IsSettled() const { return settled_; }
 
+  /** Tells whether the worker has answered its last look. */
+  bool IsHeard() const { return settled_ && !silent_; }
+
   /** Tells whether tasks may be started here now. */
   bool IsOpen() const;
 
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -69,6 +69,7 @@
   void HandleAtPeer(const jobs::OwnerRecord& aOwner,
                     const JobRequest& aRequest,
                     cells::AnswerCallback aDone);
+  void AskAgain(const JobRequest& aRequest, const cells::AnswerCallback& aDone);
   void HandleFromStore(const JobRequest& aRequest, const cells::AnswerCallback& aDone, bool aFinal);
   void ServePeer(PeerMethod aMethod,
                  const std::string& aBody,
--- a/include/quetzal/workers/Book.h
+++ b/include/quetzal/workers/Book.h
@@ -30,7 +30,8 @@
   clock::Moment orderedAt_{};
   clock::Moment answeredAt_{}; ///< When the start's answer, or the lack of one, was known.
   clock::Moment barredAt_{};   ///< When the worker confirmed that the run will not start; or never.
-  int percent_ = 100;
+  int progress_ = 0; ///< Per cent, as last seen; a lasting task is at work at 100.
+  int pace_ = 100;   ///< The share of its speed at which it was last told to work, in per cent.
   std::int64_t figure_ = 0;
 };
 
--- a/include/quetzal/workers/WorkerPort.h
+++ b/include/quetzal/workers/WorkerPort.h
@@ -79,7 +79,7 @@
   jobs::TaskId task_;
   std::int64_t run_ = 0;
   std::string checkpoint_;
-  int percent_ = 100;      ///< The share at which it may work.
+  int progress_ = 0;       ///< Per cent; a lasting task is at work at 100.
   std::int64_t figure_ = 0; ///< A serving task's tail in ms; otherwise processor use in millicores.
 };
 
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -32,6 +32,8 @@
 constexpr double kMillicoreMsPerCoreSecond = 1e6;
 constexpr std::int64_t kUnknownEstimateMs = 600;
 constexpr std::size_t kMostExpiredAtOnce = 30;
+/** Progress, in per cent, at which a lasting task is at work. */
+constexpr int kAtWork = 100;
 
 std::int64_t
 UnixMs()
@@ -1018,6 +1020,36 @@
   KickPlacing();
 }
 
+bool
+Cell::IsAtWork(const jobs::TaskState& aState, const jobs::TaskId& aTask) const
+{
+  if (aState.phase_ != jobs::TaskPhase::kPlaced || aState.leaving_) {
+    return false;
+  }
+  const auto row = workers_.find(aState.worker_);
+  if (row == workers_.end() || !row->second.worker_->IsHeard()) {
+    return false;
+  }
+  const auto& slots = row->second.worker_->Book().slots_;
+  const auto slot = slots.find(aTask);
+  return slot != slots.end() && slot->second.state_ == workers::SlotState::kRunning &&
+         slot->second.progress_ >= kAtWork;
+}
+
+bool
+Cell::MayTakeAway(const jobs::Job& aJob, const jobs::TaskId& aTask) const
+{
+  const auto step = static_cast<std::size_t>(aTask.step_);
+  const auto& tasks = aJob.live_.at(aTask.occurrence_).steps_.at(step).tasks_;
+  int away = 0;
+  jobs::TaskId other = aTask;
+  for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
+    other.index_ = i;
+    away += i != aTask.index_ && !IsAtWork(tasks[static_cast<std::size_t>(i)], other) ? 1 : 0;
+  }
+  return away < std::max(aJob.spec_.steps_.at(step).mayMiss_, 1);
+}
+
 void
 Cell::Vacate(const std::string& aWorker)
 {
@@ -1026,24 +1058,14 @@
     return;
   }
   std::vector<jobs::TaskId> toStop;
-  const clock::Moment now = Now();
   for (const auto& [task, slot] : row->second.worker_->Book().slots_) {
     const auto job = jobs_.find(task.job_);
     if (!slot.lasting_ || slot.state_ != workers::SlotState::kRunning || job == jobs_.end()) {
       continue;
     }
-    const jobs::StepSpec& spec =
-      job->second.spec_.steps_.at(static_cast<std::size_t>(task.step_));
-    const auto& tasks = job->second.live_.at(task.occurrence_)
-                          .steps_.at(static_cast<std::size_t>(task.step_))
-                          .tasks_;
-    const int away = static_cast<int>(
-      std::count_if(tasks.begin(), tasks.end(), [&](const jobs::TaskState& aTask) {
-        return aTask.phase_ != jobs::TaskPhase::kPlaced || aTask.leaving_ ||
-               now - aTask.placedAt_ < context_.awayNotice_;
-      }));
-    if (away < std::max(spec.mayMiss_, 1)) {
-      jobs::FindTask(job->second, task)->leaving_ = true;
+    jobs::TaskState* state = jobs::FindTask(job->second, task);
+    if (state != nullptr && MayTakeAway(job->second, task)) {
+      state->leaving_ = true;
       toStop.push_back(task);
     }
   }
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -193,7 +193,7 @@
 {
   const auto slot = book_.slots_.find(aTask);
   if (slot != book_.slots_.end()) {
-    slot->second.percent_ = aPercent;
+    slot->second.pace_ = aPercent;
     port_->Pace(aTask, slot->second.run_, aPercent, fence_, [](const auto& /*aReply*/) {});
   }
 }
@@ -385,7 +385,7 @@
     }
     seen.insert(running.task_);
     slot->second.figure_ = running.figure_;
-    slot->second.percent_ = running.percent_;
+    slot->second.progress_ = running.progress_;
     if (slot->second.state_ == workers::SlotState::kUnsure ||
         slot->second.state_ == workers::SlotState::kOrdered) {
       slot->second.state_ = workers::SlotState::kRunning;
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -20,6 +20,8 @@
 /** Taken off a caller's patience, so that the answer is in time. */
 constexpr clock::Milliseconds kAnswerMargin{ 100 };
 constexpr clock::Milliseconds kVacantRetryAfter{ 1'000 };
+/** Between two times that an owner is asked about a job whose outcome is not known. */
+constexpr clock::Milliseconds kAskAgainPause{ 150 };
 
 clock::Moment
 Now()
@@ -310,12 +312,22 @@
   cells::AnswerCallback done = WithinPatience(this, aRequest.patience_, std::move(aDone));
   const bool asksForOne =
     aRequest.kind_ == RequestKind::kShow || aRequest.kind_ == RequestKind::kCancel;
+  // A local cell that is dropped cannot tell; its successor can.
   // A job stays in the cell that took it, though its queue may have moved: the store knows which.
-  const cells::AnswerCallback checked = [this, aRequest, done, asksForOne](const auto& aAnswer) {
+  const clock::Moment begun = Now();
+  const cells::AnswerCallback checked = [=, this](const cells::Answer& aAnswer) {
     if (asksForOne && aAnswer.verdict_ == cells::Verdict::kUnknownJob) {
       HandleFromStore(aRequest, done, false);
       return;
     }
+    if (aAnswer.verdict_ == cells::Verdict::kUndecided &&
+        aRequest.kind_ != RequestKind::kShow) {
+      JobRequest again = aRequest;
+      again.unsure_ = true;
+      again.patience_ -= std::chrono::duration_cast<clock::Milliseconds>(Now() - begun);
+      AskAgain(again, done);
+      return;
+    }
     done(aAnswer);
   };
   if (const auto cell = cells_.find(aRequest.cell_); cell != cells_.end()) {
@@ -331,6 +343,12 @@
     HandleFromStore(aRequest, done, true);
     return;
   }
+  if (aRequest.unsure_) {
+    JobRequest again = aRequest;
+    again.patience_ -= kAskAgainPause;
+    AskAgain(again, done);
+    return;
+  }
   done(Refusal());
 }
 
@@ -364,15 +382,16 @@
                           cells::AnswerCallback aDone)
 {
   const settings::Endpoint peer{ aOwner.address_, static_cast<std::uint16_t>(aOwner.port_) };
+  const clock::Moment sentAt = Now();
   links_.Call(peer,
               PeerMethod::kJob,
               jobs::Encode(ToCall(aRequest)),
               aRequest.patience_,
-              [this, aRequest, aDone](const CallResult& aResult) {
+              [this, aRequest, aDone, sentAt](const CallResult& aResult) {
                 JobReply reply;
                 const bool answered = aResult.failure_ == CallFailure::kNone &&
                                       jobs::Decode(aResult.body_, reply) && reply.owned_;
-                if (answered) {
+                if (answered && FromReply(reply).verdict_ != cells::Verdict::kUndecided) {
                   aDone(FromReply(reply));
                   return;
                 }
@@ -380,19 +399,33 @@
                   HandleFromStore(aRequest, aDone, true);
                   return;
                 }
-                if (aResult.failure_ == CallFailure::kNoAnswer) {
-                  log::Warn("node",
-                            "event=outcome-unknown job=",
-                            aRequest.id_,
-                            " cell=",
-                            aRequest.cell_);
-                  aDone({ cells::Verdict::kUndecided });
-                  return;
-                }
-                aDone(Refusal());
+                JobRequest again = aRequest;
+                again.patience_ -=
+                  std::chrono::duration_cast<clock::Milliseconds>(Now() - sentAt) + kAskAgainPause;
+                again.unsure_ = aRequest.unsure_ || answered ||
+                                aResult.failure_ == CallFailure::kNoAnswer;
+                AskAgain(again, aDone);
               });
 }
 
+void
+NodeProcess::AskAgain(const JobRequest& aRequest, const cells::AnswerCallback& aDone)
+{
+  // Where nothing can have been stored, the caller is told so at once and may come back.
+  if (!aRequest.unsure_) {
+    aDone(Refusal());
+    return;
+  }
+  if (aRequest.patience_ <= kAnswerMargin) {
+    log::Warn(
+      "node", "event=outcome-unknown job=", aRequest.id_, " cell=", aRequest.cell_);
+    aDone({ cells::Verdict::kUndecided });
+    return;
+  }
+  // The id makes it the same job: whoever owns the cell by then knows whether it is stored.
+  QTimer::singleShot(kAskAgainPause, this, [this, aRequest, aDone] { Handle(aRequest, aDone); });
+}
+
 void
 NodeProcess::HandleFromStore(const JobRequest& aRequest,
                              const cells::AnswerCallback& aDone,
