--- a/include/quetzal/jobs/Records.h
+++ b/include/quetzal/jobs/Records.h
@@ -60,10 +60,11 @@
   int occurrence_ = 0;
   int step_ = 0;
   int index_ = 0;
-  int count_ = 0;    ///< Failed runs.
-  std::string text_; ///< A checkpoint.
+  int count_ = 0;        ///< Failed runs.
+  std::int64_t run_ = 0; ///< The latest failed run.
+  std::string text_;     ///< A checkpoint.
 
-  MSGPACK_DEFINE_ARRAY(occurrence_, step_, index_, count_, text_)
+  MSGPACK_DEFINE_ARRAY(occurrence_, step_, index_, count_, run_, text_)
 };
 
 /** Which tasks of one step are done: character i is '1' for task i. */
--- a/include/quetzal/node/NodeSettings.h
+++ b/include/quetzal/node/NodeSettings.h
@@ -31,6 +31,8 @@
   clock::Milliseconds maintenanceTime_{ 0 };
   clock::Milliseconds moveTime_{ 0 };
   cells::LeaseTimes times_;
+
+  bool operator==(const NodeSettings&) const = default;
 };
 
 /** Reads and checks a settings file. @throws settings::SettingsError. */
--- a/include/quetzal/process/StopSignals.h
+++ b/include/quetzal/process/StopSignals.h
@@ -6,7 +6,7 @@
 /** What every binary's process has in common. */
 namespace quetzal::process {
 
-/** Turns SIGTERM and SIGINT into messages of the event loop. At most one of these may exist. */
+/** Turns SIGTERM, SIGINT and SIGHUP into messages of the event loop. At most one of these may exist. */
 class StopSignals : public QObject
 {
   Q_OBJECT
@@ -15,8 +15,10 @@
   explicit StopSignals(QObject* aParent = nullptr);
 
 Q_SIGNALS:
-  /** Comes once for each signal. */
+  /** Comes once for each SIGTERM or SIGINT. */
   void StopAsked();
+  /** Comes once for each SIGHUP: the settings file may have changed. */
+  void ReloadAsked();
 
 private:
   void Read();
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -142,6 +142,7 @@
     const TaskId id{ aJob.id_, mark.occurrence_, mark.step_, mark.index_ };
     if (TaskState* task = FindTask(aJob, id)) {
       task->failures_ = mark.count_;
+      task->lastFailedRun_ = mark.run_;
       aJob.begun_ = true;
     }
   }
@@ -170,10 +171,10 @@
           continue;
         }
         if (task.failures_ > 0) {
-          record.failures_.push_back({ index, s, i, task.failures_, {} });
+          record.failures_.push_back({ index, s, i, task.failures_, task.lastFailedRun_, {} });
         }
         if (!task.checkpoint_.empty()) {
-          record.checkpoints_.push_back({ index, s, i, 0, task.checkpoint_ });
+          record.checkpoints_.push_back({ index, s, i, 0, 0, task.checkpoint_ });
         }
       }
       if (step.done_ > 0) {
@@ -306,8 +307,10 @@
   if (!aCheckpoint.empty()) {
     task->checkpoint_ = aCheckpoint;
   }
-  if (aKind == EndKind::kFailed && !spec.lasting_) {
+  // An end that was recorded and not yet forgotten is listed again to the next owner.
+  if (aKind == EndKind::kFailed && !spec.lasting_ && aRun > task->lastFailedRun_) {
     ++task->failures_;
+    task->lastFailedRun_ = aRun;
     effect.changed_ = true;
     effect.failed_ = aMostAttempts > 0 && task->failures_ >= aMostAttempts;
   }
--- a/src/process/StopSignals.cpp
+++ b/src/process/StopSignals.cpp
@@ -11,12 +11,14 @@
 namespace {
 
 int gWriteEnd = -1;
+constexpr char kStop = 1;
+constexpr char kReload = 2;
 
 /** Only calls that are safe inside a signal handler may stand here. */
 void
-OnSignal(int /*aSignal*/)
+OnSignal(int aSignal)
 {
-  const char byte = 1;
+  const char byte = aSignal == SIGHUP ? kReload : kStop;
   [[maybe_unused]] const auto written = ::write(gWriteEnd, &byte, 1);
 }
 
@@ -34,6 +36,7 @@
   connect(notifier_, &QSocketNotifier::activated, this, &StopSignals::Read);
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
+  std::signal(SIGHUP, OnSignal);
   std::signal(SIGPIPE, SIG_IGN);
 }
 
@@ -42,7 +45,11 @@
 {
   char byte = 0;
   while (::read(static_cast<int>(notifier_->socket()), &byte, 1) == 1) {
-    Q_EMIT StopAsked();
+    if (byte == kReload) {
+      Q_EMIT ReloadAsked();
+    } else {
+      Q_EMIT StopAsked();
+    }
   }
 }
 
