--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -15,8 +15,6 @@
   clock::Milliseconds startWindow_{ 1'000 }; ///< A start that arrives later does nothing.
 
   bool operator==(const LeaseTimes&) const = default;
-
-  bool operator==(const LeaseTimes&) const = default;
 };
 
 /** Returns how long ago the cell may have got another owner at the earliest; 0: not yet. */
