--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -57,6 +57,7 @@
   void ReadWaveRecord(std::int64_t aWave, const store::ReadResult& aResult);
   void Act();
   fleet::FleetView View(clock::Moment aNow) const;
+  void LogPlan(const fleet::FleetPlan& aPlan, clock::Moment aNow);
   void Move(const fleet::MoveOrder& aOrder);
   void Maintain(const fleet::MaintenanceOrder& aOrder);
   bool TakeOrderRight();
@@ -78,6 +79,7 @@
   bool stopped_ = false;
   std::vector<fleet::Machine> list_;
   clock::Moment listAt_{};
+  clock::Moment loggedAt_{};
   std::map<std::string, ReportRow> reports_;
   std::map<std::int64_t, fleet::WaveProgress> waves_;
   std::set<std::int64_t> readingWaves_;
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr clock::Milliseconds kInterval{ 150 };
+constexpr clock::Milliseconds kPlanLogInterval{ 1'000 };
 /** Reports older than this are not acted on. */
 constexpr clock::Milliseconds kReportAge{ 600 };
 /** A list older than this is not acted on. */
@@ -245,6 +246,7 @@
   const fleet::FleetPlan plan = fleet::MakePlan(View(now), planner, now);
   closed_ = plan.closed_;
   vacate_ = plan.vacate_;
+  LogPlan(plan, now);
   for (const fleet::MaintenanceOrder& order : plan.maintenance_) {
     if (TakeOrderRight()) {
       Maintain(order);
@@ -257,6 +259,41 @@
   }
 }
 
+void
+FleetManager::LogPlan(const fleet::FleetPlan& aPlan, clock::Moment aNow)
+{
+  if (aNow - loggedAt_ < kPlanLogInterval) {
+    return;
+  }
+  loggedAt_ = aNow;
+  std::map<std::string, int> up;
+  std::map<std::string, int> coming;
+  for (const fleet::Machine& machine : list_) {
+    const bool isUp = machine.state_ == fleet::MachineState::kUp;
+    ++(isUp ? up : coming)[machine.pool_];
+  }
+  std::ostringstream text;
+  for (const auto& [pool, count] : up) {
+    const auto report = reports_.find(pool);
+    const auto target = aPlan.targets_.find(pool);
+    text << " pool=" << pool << " up=" << count << " coming=" << coming[pool]
+         << " wanted=" << (target == aPlan.targets_.end() ? 0 : target->second);
+    if (report != reports_.end()) {
+      const cells::CellReport& row = report->second.report_;
+      text << " lasting=" << row.lastingCores_ << " backlog=" << row.backlogWork_
+           << " recent=" << row.recentWork_ << " earlier=" << row.earlierWork_;
+    }
+  }
+  log::Info("fleet",
+            "event=plan moves=",
+            aPlan.moves_.size(),
+            " maintenance=",
+            aPlan.maintenance_.size(),
+            " closed=",
+            aPlan.closed_.size(),
+            text.str());
+}
+
 void
 FleetManager::Move(const fleet::MoveOrder& aOrder)
 {
