Share hosts by urgency first, then by forecast, and move them from pool to pool

Need is now what jobs need to be done in time, then a forecast of arrivals; estimates are corrected by learned durations.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/cells/CellWriter.h"
 #include "include/quetzal/cells/Worker.h"
+#include "include/quetzal/fleet/Forecast.h"
 #include "include/quetzal/jobs/JobTable.h"
 #include "include/quetzal/metrics/Registry.h"
 #include "include/quetzal/node/Feed.h"
@@ -77,9 +78,8 @@
 {
   std::string service_;
   double lastingCores_ = 0;  ///< Asked for by tasks that last.
-  double backlogWork_ = 0;   ///< Core-seconds of estimated work waiting or running.
-  double recentWork_ = 0;    ///< Core-seconds that arrived in the last second.
-  double earlierWork_ = 0;   ///< Core-seconds that arrived in the second before.
+  double urgentCores_ = 0;   ///< Needed for waiting and running jobs to be done in time.
+  double forecastCores_ = 0; ///< That arriving jobs will need when a host drawn now has come.
   std::vector<WorkerReport> workers_;
 };
 
@@ -158,6 +158,7 @@
   void OnStartEnded(const jobs::TaskId& aTask, std::int64_t aRun, workers::OrderStatus aWhy);
   void OnFound(Row& aRow, const workers::RunningTask& aTask);
   void Judge(Row& aRow, jobs::EndKind aKind);
+  void LearnDuration(const jobs::Job& aJob, const jobs::TaskId& aTask, clock::Moment aPlacedAt);
 
   void KickPlacing();
   void PlaceAll();
@@ -213,7 +214,8 @@
   };
   std::map<std::string, TicketRow> advice_; ///< By step.
   std::set<std::string> closed_;
-  std::deque<std::pair<clock::Moment, double>> arrivals_;
+  std::deque<fleet::Arrival> arrivals_;
+  double estimateBias_ = 1; ///< How long tasks take, as a multiple of their estimates.
   clock::Moment begun_;
   bool handingOver_ = false;
   bool lost_ = false;
--- a/include/quetzal/fleet/Planner.h
+++ b/include/quetzal/fleet/Planner.h
@@ -16,6 +16,7 @@
 {
   int runs_ = 0;
   bool hasLasting_ = false;
+  bool closed_ = false;   ///< Nothing is started there.
   bool released_ = false; ///< Closed, and nothing runs there: its host may be taken.
 };
 
@@ -23,9 +24,8 @@
 struct PoolDemand
 {
   double lastingCores_ = 0; ///< Asked for by tasks that last.
-  double backlogWork_ = 0;  ///< Core-seconds waiting or running.
-  double recentWork_ = 0;   ///< Core-seconds that arrived in the last second.
-  double earlierWork_ = 0;  ///< Core-seconds that arrived in the second before.
+  double urgentCores_ = 0;   ///< Needed beyond those for jobs to be done in time.
+  double forecastCores_ = 0; ///< Needed beyond the lasting ones when a host drawn now has come.
   bool fresh_ = false;      ///< The report is recent enough to act on.
   std::map<std::string, WorkerLoad> workers_;
 };
@@ -69,12 +69,10 @@
 /** How eagerly hosts are drawn from the standby pool and returned. */
 struct PlannerOptions
 {
-  double forecastFactor_ = 0.5;  ///< Cores for each core-second of recent or waiting work.
-  double slopeWeight_ = 1.5;     ///< How far the rise of the last second is extended.
-  double backlogWeight_ = 0.8;
-  double arrivalWeight_ = 1.5;
-  int keptHosts_ = 5;            ///< Hosts that stay in every pool.
-  int slackHosts_ = 1;           ///< Hosts beyond the need that are not returned.
+  double margin_ = 1.15;  ///< Cores planned for each core needed.
+  int keptHosts_ = 3;     ///< Hosts beyond the lasting tasks' that stay in every pool.
+  int slackHosts_ = 1;    ///< Hosts beyond the need that are not returned.
+  int leastLack_ = 2;     ///< Hosts lacking for which hosts at work are closed in other pools.
   bool mayPark_ = true;          ///< Hosts may be returned to the standby pool.
 };
 
@@ -104,9 +102,15 @@
   std::map<std::string, double> targets_; ///< Hosts wanted in each pool.
 };
 
-/** Returns the hosts that a pool needs now. */
-double
-HostsNeeded(const PoolDemand& aDemand, double aCoresPerHost, const PlannerOptions& aOptions);
+/** Shares hosts among pools: first what lasting tasks need, then what is urgent, then what is
+ * forecast and kept in reserve. Where hosts do not suffice for one of these, every pool gets the same
+ * part of it. Answers two queues that rise together, and the tail of one beside the rise of the next.
+ * @return hosts by pool. */
+std::map<std::string, double>
+ShareHosts(const std::map<std::string, PoolDemand>& aPools,
+           double aHosts,
+           double aCoresPerHost,
+           const PlannerOptions& aOptions);
 
 /** Plans moves and maintenance: hosts are drawn to where work arrives, returned when the work has
  * gone, and maintained where nothing runs first. Nothing is ordered for a host on which something
--- a/include/quetzal/jobs/JobTable.h
+++ b/include/quetzal/jobs/JobTable.h
@@ -131,6 +131,17 @@
          const std::string& aCheckpoint,
          int aMostAttempts);
 
+/** What remains of a job's repetitions that are due, by the caller's estimates. */
+struct Remainder
+{
+  double work_ = 0;              ///< Core-seconds of tasks that are not done.
+  double widestCores_ = 0;       ///< Cores that it can use at once at most.
+  clock::Milliseconds chain_{ 0 }; ///< Longest chain of steps that are not done.
+};
+
+Remainder
+RemainderOf(const Job& aJob);
+
 /** Returns the moment until which the job earns its full worth. */
 clock::Moment
 ObjectiveOf(const Job& aJob, const Queue* aQueue);
--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -6,6 +6,7 @@
 
 #include <QtCore/QObject>
 #include <QtCore/QTimer>
+#include <deque>
 
 namespace quetzal::node {
 
@@ -49,6 +50,7 @@
   {
     cells::CellReport report_;
     clock::Moment at_{};
+    std::deque<std::pair<clock::Moment, double>> forecasts_; ///< Cores, by the last reports.
   };
 
   void Tick();
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -20,7 +20,16 @@
 constexpr clock::Milliseconds kRefusedPause{ 60 };
 /** Told to callers whose job cannot be stored now. */
 constexpr clock::Milliseconds kRetryAfter{ 1'000 };
-constexpr clock::Milliseconds kArrivalWindow{ 2'000 };
+constexpr clock::Milliseconds kArrivalHistory{ 4'000 };
+/** Over which rates of arrival are taken: half of the longest job's chain, within these. */
+constexpr clock::Milliseconds kLeastWindow{ 600 };
+constexpr clock::Milliseconds kMostWindow{ 1'600 };
+/** From the decision to draw a host until tasks start on it. */
+constexpr clock::Milliseconds kForecastAhead{ 2'000 };
+/** Weight of one task's duration in what is learned of estimates. */
+constexpr double kBiasWeight = 0.02;
+constexpr double kLeastBias = 0.4;
+constexpr double kMostBias = 2.5;
 /** Runs of one owner; its fence number goes before it. */
 constexpr std::int64_t kRunsPerOwner = 10'000'000;
 /** Jobs in a row that could not be placed after which the rest is left for the next time. */
@@ -29,8 +38,6 @@
 constexpr double kSuspicionAfterDone = 0.5;
 constexpr double kSuspicionDecay = 0.985; ///< For each housekeeping round.
 constexpr double kSuspicious = 0.65;
-constexpr double kMillicoreMsPerCoreSecond = 1e6;
-constexpr std::int64_t kUnknownEstimateMs = 600;
 constexpr std::size_t kMostExpiredAtOnce = 30;
 /** Progress, in per cent, at which a lasting task is at work. */
 constexpr int kAtWork = 100;
@@ -375,7 +382,7 @@
       accepted.stored_ = true;
       jobs::OpenDueOccurrences(accepted, UnixMs());
       if (!accepted.lasting_ && accepted.spec_.repetitions_ == 0) {
-        arrivals_.emplace_back(Now(), accepted.work_);
+        arrivals_.push_back({ Now(), accepted.work_ });
       }
       log::Info("cell",
                 "event=job-accepted cell=",
@@ -466,6 +473,19 @@
   }
 }
 
+void
+Cell::LearnDuration(const jobs::Job& aJob, const jobs::TaskId& aTask, clock::Moment aPlacedAt)
+{
+  const jobs::StepSpec& spec = aJob.spec_.steps_.at(static_cast<std::size_t>(aTask.step_));
+  if (spec.lasting_ || spec.estimateMs_ <= 0) {
+    return;
+  }
+  const double seconds = std::chrono::duration<double>(Now() - aPlacedAt).count();
+  const double ratio = seconds * 1'000 / static_cast<double>(spec.estimateMs_);
+  estimateBias_ += (std::clamp(ratio, 0.0, kMostBias) - estimateBias_) * kBiasWeight;
+  estimateBias_ = std::clamp(estimateBias_, kLeastBias, kMostBias);
+}
+
 void
 Cell::OnEnded(Row& aRow,
               const jobs::TaskId& aTask,
@@ -503,6 +523,10 @@
     return;
   }
   jobs::Job& job = found->second;
+  if (const jobs::TaskState* task = jobs::FindTask(job, aTask);
+      task != nullptr && aKind == jobs::EndKind::kDone && task->run_ == aRun) {
+    LearnDuration(job, aTask, task->placedAt_);
+  }
   const jobs::EndEffect effect =
     jobs::ApplyEnd(job, aTask, aRun, aKind, aCheckpoint, MostAttempts(job));
   if (effect.completed_) {
@@ -726,7 +750,9 @@
       queue->second = jobs::FindQueueByName(configuration, job.queue_);
     }
     const int priority = queue->second == nullptr ? 0 : queue->second->priority_;
-    const bool late = aNow > jobs::ObjectiveOf(job, queue->second);
+    const auto chain = jobs::RemainderOf(job).chain_ * estimateBias_;
+    const bool late = aNow + std::chrono::duration_cast<clock::Moment::duration>(chain) >
+                      jobs::ObjectiveOf(job, queue->second);
     rows.emplace_back(Key{ !job.lasting_, priority, late, !job.begun_, job.arrived_ }, &job);
   }
   std::sort(rows.begin(), rows.end(), [](const auto& aLeft, const auto& aRight) {
@@ -977,28 +1003,28 @@
   CellReport report;
   report.service_ = service_;
   const clock::Moment now = Now();
-  while (!arrivals_.empty() && now - arrivals_.front().first > kArrivalWindow) {
+  while (!arrivals_.empty() && now - arrivals_.front().at_ > kArrivalHistory) {
     arrivals_.pop_front();
   }
-  for (const auto& [moment, work] : arrivals_) {
-    (now - moment > kArrivalWindow / 2 ? report.earlierWork_ : report.recentWork_) += work;
-  }
+  const jobs::Configuration& configuration = context_.feed_->Configuration();
+  clock::Milliseconds longest{ 0 };
   for (const auto& [id, job] : jobs_) {
-    for (const auto& [index, occurrence] : job.live_) {
-      for (std::size_t s = 0; s < occurrence.steps_.size(); ++s) {
-        const jobs::StepSpec& spec = job.spec_.steps_[s];
-        const int open = spec.count_ - occurrence.steps_[s].done_;
-        const double cores = spec.fills_ ? 0 : static_cast<double>(spec.cpu_) * open;
-        if (spec.lasting_) {
-          report.lastingCores_ += cores / 1'000;
-        } else {
-          const std::int64_t estimate =
-            spec.estimateMs_ > 0 ? spec.estimateMs_ : kUnknownEstimateMs;
-          report.backlogWork_ += cores * static_cast<double>(estimate) / kMillicoreMsPerCoreSecond;
-        }
-      }
+    if (!job.stored_ || job.ending_ || jobs::IsFinal(job.state_)) {
+      continue;
     }
-  }
+    const jobs::Remainder rest = jobs::RemainderOf(job);
+    if (job.lasting_) {
+      report.lastingCores_ += rest.widestCores_;
+      continue;
+    }
+    longest = std::max(longest, job.chain_);
+    const jobs::Queue* queue = jobs::FindQueueByName(configuration, job.queue_);
+    report.urgentCores_ += fleet::UrgentCores(
+      { rest.work_ * estimateBias_, rest.widestCores_, jobs::ObjectiveOf(job, queue) }, now);
+  }
+  const auto window = std::clamp(longest / 2, kLeastWindow, kMostWindow);
+  report.forecastCores_ =
+    estimateBias_ * fleet::ForecastCores(arrivals_, now, window, kForecastAhead);
   for (const auto& [id, row] : workers_) {
     const workers::Book& book = row.worker_->Book();
     report.workers_.push_back({ id,
--- /dev/null
+++ b/src/fleet/Forecast.cpp
@@ -0,0 +1,52 @@
+#include "include/quetzal/fleet/Forecast.h"
+
+#include <algorithm>
+
+namespace quetzal::fleet {
+namespace {
+
+/** Work that is due sooner than this cannot be hurried by more hosts. */
+constexpr double kLeastSeconds = 0.6;
+/** Over which the work of a late job is spread. */
+constexpr double kLateSeconds = 4;
+
+double
+Seconds(clock::Moment::duration aSpan)
+{
+  return std::chrono::duration<double>(aSpan).count();
+}
+
+} // namespace
+
+double
+ForecastCores(const std::deque<Arrival>& aArrivals,
+              clock::Moment aNow,
+              clock::Milliseconds aWindow,
+              clock::Milliseconds aAhead)
+{
+  double recent = 0;
+  double earlier = 0;
+  for (const Arrival& arrival : aArrivals) {
+    const auto age = aNow - arrival.at_;
+    if (age < aWindow) {
+      recent += arrival.work_;
+    } else if (age < 2 * aWindow) {
+      earlier += arrival.work_;
+    }
+  }
+  const double window = Seconds(aWindow);
+  const double rate = recent / window;
+  const double rise = std::max(recent - earlier, 0.0) / window / window;
+  return rate + std::min(rise * Seconds(aAhead), rate);
+}
+
+double
+UrgentCores(const PendingWork& aWork, clock::Moment aNow)
+{
+  const double left = Seconds(aWork.due_ - aNow);
+  const double cores =
+    left <= 0 ? aWork.work_ / kLateSeconds : aWork.work_ / std::max(left, kLeastSeconds);
+  return std::min(cores, aWork.widestCores_);
+}
+
+} // namespace quetzal::fleet
--- a/src/fleet/Planner.cpp
+++ b/src/fleet/Planner.cpp
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace quetzal::fleet {
 namespace {
 
 /** Added to the time that maintenance takes before an order without a trace is repeated. */
 constexpr clock::Milliseconds kMaintenanceSlack{ 1'500 };
+/** The part of a host that a pool does without. */
+constexpr double kRounding = 0.2;
 
 const WorkerLoad*
 LoadOf(const FleetView& aView, const Machine& aMachine)
@@ -58,72 +61,113 @@
           aMachine.state_ == MachineState::kMaintenance);
 }
 
-/** Draws hosts from the standby pool; the pools that lack most come first. */
-void
-PlanDraws(const FleetView& aView, FleetPlan& aPlan)
+/** What the plan for pools knows of one host that might leave its pool. */
+struct Source
 {
-  std::vector<const Machine*> reserve;
+  const Machine* machine_ = nullptr;
+  int runs_ = 0;
+  bool closed_ = false;
+  bool free_ = false;
+};
+
+/** Returns the hosts that a pool may give away, those that cost it least first. */
+std::vector<Source>
+SourcesOf(const FleetView& aView, const std::string& aPool)
+{
+  std::vector<Source> sources;
   for (const Machine& machine : aView.machines_) {
-    if (IsStandby(aView, machine) && IsFree(aView, machine)) {
-      reserve.push_back(&machine);
+    const WorkerLoad* load = LoadOf(aView, machine);
+    if (machine.pool_ != aPool || machine.state_ != MachineState::kUp || load == nullptr ||
+        load->hasLasting_ || aView.busyMachines_.contains(machine.name_)) {
+      continue;
     }
+    sources.push_back({ &machine, load->runs_, load->closed_, IsFree(aView, machine) });
   }
-  std::vector<std::pair<double, std::string>> lacking;
-  for (const auto& [pool, target] : aPlan.targets_) {
-    const auto present = std::count_if(
-      aView.machines_.begin(), aView.machines_.end(), [&pool = pool](const Machine& aMachine) {
-        return IsInPool(aMachine, pool);
+  // Hosts that are closed already come first, or they would be opened again.
+  std::sort(sources.begin(), sources.end(), [](const Source& aLeft, const Source& aRight) {
+    return std::make_tuple(!aLeft.free_, !aLeft.closed_, aLeft.runs_, aLeft.machine_->name_) <
+           std::make_tuple(!aRight.free_, !aRight.closed_, aRight.runs_, aRight.machine_->name_);
+  });
+  return sources;
+}
+
+int
+HostsIn(const FleetView& aView, const std::string& aPool)
+{
+  return static_cast<int>(std::count_if(
+    aView.machines_.begin(), aView.machines_.end(), [&aPool](const Machine& aMachine) {
+      return IsInPool(aMachine, aPool);
+    }));
+}
+
+/** Gives hosts to the pools that lack most, as long as there are any. */
+void
+GiveTo(std::map<std::string, int>& aLacking, std::vector<const Machine*>& aHosts, FleetPlan& aPlan)
+{
+  while (!aHosts.empty() && !aLacking.empty()) {
+    const auto neediest = std::max_element(
+      aLacking.begin(), aLacking.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second < aRight.second;
       });
-    const double lack = std::ceil(target - static_cast<double>(present));
-    if (lack >= 1) {
-      lacking.emplace_back(lack, pool);
-    }
-  }
-  while (!reserve.empty() && !lacking.empty()) {
-    const auto neediest = std::max_element(lacking.begin(), lacking.end());
-    aPlan.moves_.push_back({ reserve.back()->name_, neediest->second });
-    reserve.pop_back();
-    neediest->first -= 1;
-    if (neediest->first < 1) {
-      lacking.erase(neediest);
+    aPlan.moves_.push_back({ aHosts.back()->name_, neediest->first });
+    aHosts.pop_back();
+    if (--neediest->second <= 0) {
+      aLacking.erase(neediest);
     }
   }
 }
 
-/** Closes idle hosts that a pool has beyond its need, and returns those that are released. */
+/** Moves hosts to where they are needed, and those that nobody needs to the standby pool. */
 void
-PlanReturns(const FleetView& aView, const PlannerOptions& aOptions, FleetPlan& aPlan)
+PlanMoves(const FleetView& aView, const PlannerOptions& aOptions, FleetPlan& aPlan)
 {
+  std::map<std::string, int> lacking;
+  std::map<std::string, int> surplus;
+  int lack = 0;
   for (const auto& [pool, target] : aPlan.targets_) {
-    if (!aView.pools_.at(pool).fresh_) {
-      continue;
+    const int difference = static_cast<int>(std::ceil(target - kRounding)) - HostsIn(aView, pool);
+    if (difference > 0) {
+      lacking[pool] = difference;
+      lack += difference;
+    } else if (difference < 0 && aView.pools_.at(pool).fresh_) {
+      surplus[pool] = -difference;
     }
-    std::vector<const Machine*> idle;
-    int present = 0;
-    for (const Machine& machine : aView.machines_) {
-      if (!IsInPool(machine, pool)) {
+  }
+  std::vector<const Machine*> reserve;
+  for (const Machine& machine : aView.machines_) {
+    if (IsStandby(aView, machine) && IsFree(aView, machine)) {
+      reserve.push_back(&machine);
+    }
+  }
+  lack -= static_cast<int>(reserve.size());
+  std::vector<const Machine*> released;
+  for (const auto& [pool, count] : surplus) {
+    // Idle hosts go to the reserve; hosts at work are closed only where another pool lacks them.
+    int idle = count - (lack > 0 ? 0 : aOptions.slackHosts_);
+    int busy = lack >= aOptions.leastLack_ ? std::min(count, lack) : 0;
+    for (const Source& source : SourcesOf(aView, pool)) {
+      const bool isIdle = source.runs_ == 0;
+      if (isIdle ? idle-- <= 0 : busy-- <= 0) {
         continue;
       }
-      ++present;
-      const WorkerLoad* load = LoadOf(aView, machine);
-      if (machine.state_ == MachineState::kUp && load != nullptr && load->runs_ == 0 &&
-          !aView.busyMachines_.contains(machine.name_)) {
-        idle.push_back(&machine);
+      if (isIdle) {
+        --busy;
+      } else {
+        --idle;
       }
-    }
-    // Hosts that are released already go first, or they would be opened again.
-    std::stable_partition(idle.begin(), idle.end(), [&aView](const Machine* aMachine) {
-      return IsFree(aView, *aMachine);
-    });
-    const int surplus = present - static_cast<int>(std::ceil(target)) - aOptions.slackHosts_;
-    for (int i = 0; i < std::min(surplus, static_cast<int>(idle.size())); ++i) {
-      const Machine& machine = *idle[static_cast<std::size_t>(i)];
-      aPlan.closed_.insert(machine.worker_);
-      if (IsFree(aView, machine)) {
-        aPlan.moves_.push_back({ machine.name_, aView.standbyPool_ });
+      aPlan.closed_.insert(source.machine_->worker_);
+      if (source.free_) {
+        released.push_back(source.machine_);
       }
     }
   }
+  GiveTo(lacking, reserve, aPlan);
+  GiveTo(lacking, released, aPlan);
+  if (aOptions.mayPark_) {
+    for (const Machine* machine : released) {
+      aPlan.moves_.push_back({ machine->name_, aView.standbyPool_ });
+    }
+  }
 }
 
 const Machine*
@@ -197,17 +241,41 @@
 
 } // namespace
 
-double
-HostsNeeded(const PoolDemand& aDemand, double aCoresPerHost, const PlannerOptions& aOptions)
+std::map<std::string, double>
+ShareHosts(const std::map<std::string, PoolDemand>& aPools,
+           double aHosts,
+           double aCoresPerHost,
+           const PlannerOptions& aOptions)
 {
-  const double rise = aDemand.recentWork_ - aDemand.earlierWork_;
-  const double arriving =
-    std::max(aDemand.recentWork_, aDemand.recentWork_ + rise * aOptions.slopeWeight_) *
-    aOptions.arrivalWeight_;
-  const double waiting = aDemand.backlogWork_ * aOptions.backlogWeight_;
-  const double cores =
-    std::max(arriving, waiting) * aOptions.forecastFactor_ + aDemand.lastingCores_;
-  return std::max(cores / aCoresPerHost, static_cast<double>(aOptions.keptHosts_));
+  std::map<std::string, double> shares;
+  double left = aHosts;
+  const auto share = [&](const auto& aNeedOf) {
+    double total = 0;
+    for (const auto& [pool, demand] : aPools) {
+      total += std::max(aNeedOf(demand) - shares[pool], 0.0);
+    }
+    const double part = total > left ? left / total : 1;
+    for (const auto& [pool, demand] : aPools) {
+      const double given = std::max(aNeedOf(demand) - shares[pool], 0.0) * part;
+      shares[pool] += given;
+      left -= given;
+    }
+    left = std::max(left, 0.0);
+  };
+  const auto lastingHosts = [&](const PoolDemand& aDemand) {
+    return aDemand.lastingCores_ / aCoresPerHost;
+  };
+  const auto urgentHosts = [&](const PoolDemand& aDemand) {
+    return lastingHosts(aDemand) + aDemand.urgentCores_ * aOptions.margin_ / aCoresPerHost;
+  };
+  const auto forecastHosts = [&](const PoolDemand& aDemand) {
+    return lastingHosts(aDemand) + std::max(aDemand.forecastCores_ * aOptions.margin_ / aCoresPerHost,
+                                            static_cast<double>(aOptions.keptHosts_));
+  };
+  share(lastingHosts);
+  share(urgentHosts);
+  share(forecastHosts);
+  return shares;
 }
 
 FleetPlan
@@ -215,16 +283,14 @@
 {
   FleetPlan plan;
   if (!aView.standbyPool_.empty()) {
-    const double cores = CoresPerHost(aView);
-    for (const auto& [pool, demand] : aView.pools_) {
-      if (pool != aView.standbyPool_) {
-        plan.targets_[pool] = HostsNeeded(demand, cores, aOptions);
-      }
-    }
-    PlanDraws(aView, plan);
-    if (aOptions.mayPark_) {
-      PlanReturns(aView, aOptions, plan);
+    std::map<std::string, PoolDemand> pools = aView.pools_;
+    pools.erase(aView.standbyPool_);
+    int hosts = HostsIn(aView, aView.standbyPool_);
+    for (const auto& [pool, demand] : pools) {
+      hosts += HostsIn(aView, pool);
     }
+    plan.targets_ = ShareHosts(pools, hosts, CoresPerHost(aView), aOptions);
+    PlanMoves(aView, aOptions, plan);
   }
   for (const WaveProgress& wave : aView.waves_) {
     PlanWave(aView, wave, plan);
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -5,6 +5,16 @@
 namespace quetzal::jobs {
 namespace {
 
+constexpr std::int64_t kUnknownEstimateMs = 600;
+constexpr double kMillicoresPerCore = 1'000;
+constexpr double kMillisecondsPerSecond = 1'000;
+
+std::int64_t
+EstimateOf(const StepSpec& aSpec)
+{
+  return aSpec.estimateMs_ > 0 ? aSpec.estimateMs_ : kUnknownEstimateMs;
+}
+
 int
 RepetitionsOf(const JobSpec& aSpec)
 {
@@ -318,6 +328,32 @@
   return effect;
 }
 
+Remainder
+RemainderOf(const Job& aJob)
+{
+  Remainder rest;
+  for (const auto& [index, occurrence] : aJob.live_) {
+    std::vector<std::int64_t> ends;
+    for (std::size_t s = 0; s < occurrence.steps_.size(); ++s) {
+      const StepSpec& spec = aJob.spec_.steps_[s];
+      const StepState& step = occurrence.steps_[s];
+      std::int64_t begin = 0;
+      for (const int earlier : spec.after_) {
+        begin = std::max(begin, ends.at(static_cast<std::size_t>(earlier)));
+      }
+      const std::int64_t estimate = step.IsDone() ? 0 : EstimateOf(spec);
+      ends.push_back(begin + estimate);
+      const double cores = spec.fills_ ? 0
+                                       : static_cast<double>(spec.cpu_) *
+                                           (spec.count_ - step.done_) / kMillicoresPerCore;
+      rest.work_ += cores * static_cast<double>(estimate) / kMillisecondsPerSecond;
+      rest.widestCores_ = std::max(rest.widestCores_, cores);
+      rest.chain_ = std::max(rest.chain_, clock::Milliseconds(ends.back()));
+    }
+  }
+  return rest;
+}
+
 clock::Moment
 ObjectiveOf(const Job& aJob, const Queue* aQueue)
 {
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -10,6 +10,8 @@
 
 constexpr clock::Milliseconds kInterval{ 150 };
 constexpr clock::Milliseconds kPlanLogInterval{ 1'000 };
+/** A pool's need is the highest of its reports in this time: arrivals come in uneven groups. */
+constexpr clock::Milliseconds kForecastMemory{ 1'200 };
 /** Reports older than this are not acted on. */
 constexpr clock::Milliseconds kReportAge{ 600 };
 /** A list older than this is not acted on. */
@@ -71,7 +73,14 @@
 CellOrders
 FleetManager::OnReport(const cells::CellReport& aReport)
 {
-  reports_[aReport.service_] = { aReport, Now() };
+  const clock::Moment now = Now();
+  ReportRow& row = reports_[aReport.service_];
+  row.report_ = aReport;
+  row.at_ = now;
+  row.forecasts_.emplace_back(now, std::max(aReport.urgentCores_, aReport.forecastCores_));
+  while (now - row.forecasts_.front().first > kForecastMemory) {
+    row.forecasts_.pop_front();
+  }
   CellOrders orders;
   for (const cells::WorkerReport& worker : aReport.workers_) {
     if (closed_.contains(worker.id_)) {
@@ -202,14 +211,15 @@
   for (const auto& [service, row] : reports_) {
     fleet::PoolDemand demand;
     demand.lastingCores_ = row.report_.lastingCores_;
-    demand.backlogWork_ = row.report_.backlogWork_;
-    demand.recentWork_ = row.report_.recentWork_;
-    demand.earlierWork_ = row.report_.earlierWork_;
+    demand.urgentCores_ = row.report_.urgentCores_;
+    for (const auto& [at, cores] : row.forecasts_) {
+      demand.forecastCores_ = std::max(demand.forecastCores_, cores);
+    }
     demand.fresh_ = aNow - row.at_ < kReportAge;
     for (const cells::WorkerReport& worker : row.report_.workers_) {
       const bool released = worker.closed_ && worker.settled_ && worker.runs_ == 0 &&
                             closed_.contains(worker.id_);
-      demand.workers_[worker.id_] = { worker.runs_, worker.hasLasting_, released };
+      demand.workers_[worker.id_] = { worker.runs_, worker.hasLasting_, worker.closed_, released };
     }
     view.pools_[service] = std::move(demand);
   }
@@ -280,8 +290,9 @@
          << " wanted=" << (target == aPlan.targets_.end() ? 0 : target->second);
     if (report != reports_.end()) {
       const cells::CellReport& row = report->second.report_;
-      text << " lasting=" << row.lastingCores_ << " backlog=" << row.backlogWork_
-           << " recent=" << row.recentWork_ << " earlier=" << row.earlierWork_;
+      text << " lasting=" << row.lastingCores_ << " urgent=" << row.urgentCores_
+           << " forecast=" << row.forecastCores_;
+
     }
   }
   log::Info("fleet",
--- a/src/node/Messages.cpp
+++ b/src/node/Messages.cpp
@@ -62,9 +62,8 @@
   ReportCall call;
   call.service_ = aReport.service_;
   call.lastingCores_ = aReport.lastingCores_;
-  call.backlogWork_ = aReport.backlogWork_;
-  call.recentWork_ = aReport.recentWork_;
-  call.earlierWork_ = aReport.earlierWork_;
+  call.urgentCores_ = aReport.urgentCores_;
+  call.forecastCores_ = aReport.forecastCores_;
   for (const cells::WorkerReport& row : aReport.workers_) {
     call.workers_.push_back({ row.id_, row.runs_, row.hasLasting_, row.closed_, row.settled_ });
   }
@@ -77,9 +76,8 @@
   cells::CellReport report;
   report.service_ = aCall.service_;
   report.lastingCores_ = aCall.lastingCores_;
-  report.backlogWork_ = aCall.backlogWork_;
-  report.recentWork_ = aCall.recentWork_;
-  report.earlierWork_ = aCall.earlierWork_;
+  report.urgentCores_ = aCall.urgentCores_;
+  report.forecastCores_ = aCall.forecastCores_;
   for (const WorkerRow& row : aCall.workers_) {
     report.workers_.push_back({ row.id_, row.runs_, row.hasLasting_, row.closed_, row.settled_ });
   }
--- a/src/node/Messages.h
+++ b/src/node/Messages.h
@@ -49,12 +49,11 @@
 {
   std::string service_;
   double lastingCores_ = 0;
-  double backlogWork_ = 0;
-  double recentWork_ = 0;
-  double earlierWork_ = 0;
+  double urgentCores_ = 0;
+  double forecastCores_ = 0;
   std::vector<WorkerRow> workers_;
 
-  MSGPACK_DEFINE_ARRAY(service_, lastingCores_, backlogWork_, recentWork_, earlierWork_, workers_)
+  MSGPACK_DEFINE_ARRAY(service_, lastingCores_, urgentCores_, forecastCores_, workers_)
 };
 
 /** CellOrders between entry hosts. */
