Count every failed run once, in whatever order ends are listed; tests of the new parts

The runs that failed are kept instead of their number. Test: Task_FailedEndsListedOutOfOrder_AreAllCounted, red before.

--- a/include/quetzal/jobs/JobTable.h
+++ b/include/quetzal/jobs/JobTable.h
@@ -24,8 +24,7 @@
 {
   TaskPhase phase_ = TaskPhase::kWaiting;
   std::int64_t run_ = 0; ///< The run that is placed, or was last.
-  int failures_ = 0;
-  std::int64_t lastFailedRun_ = 0; ///< The latest run counted in failures_.
+  std::set<std::int64_t> failedRuns_; ///< Runs that ended as failed; each counts once.
   std::string checkpoint_;
   std::string worker_;
   bool leaving_ = false; ///< Its run is being ended so that it can start elsewhere.
--- a/include/quetzal/jobs/Records.h
+++ b/include/quetzal/jobs/Records.h
@@ -3,6 +3,7 @@
 #include "include/quetzal/jobs/Job.h"
 
 #include <msgpack.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,11 +61,10 @@
   int occurrence_ = 0;
   int step_ = 0;
   int index_ = 0;
-  int count_ = 0;        ///< Failed runs.
-  std::int64_t run_ = 0; ///< The latest failed run.
-  std::string text_;     ///< A checkpoint.
+  std::set<std::int64_t> runs_; ///< Runs that failed.
+  std::string text_;            ///< A checkpoint.
 
-  MSGPACK_DEFINE_ARRAY(occurrence_, step_, index_, count_, run_, text_)
+  MSGPACK_DEFINE_ARRAY(occurrence_, step_, index_, runs_, text_)
 };
 
 /** Which tasks of one step are done: character i is '1' for task i. */
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -151,8 +151,7 @@
   for (const TaskMark& mark : aRecord.failures_) {
     const TaskId id{ aJob.id_, mark.occurrence_, mark.step_, mark.index_ };
     if (TaskState* task = FindTask(aJob, id)) {
-      task->failures_ = mark.count_;
-      task->lastFailedRun_ = mark.run_;
+      task->failedRuns_ = mark.runs_;
       aJob.begun_ = true;
     }
   }
@@ -180,11 +179,11 @@
           marks.done_[static_cast<std::size_t>(i)] = '1';
           continue;
         }
-        if (task.failures_ > 0) {
-          record.failures_.push_back({ index, s, i, task.failures_, task.lastFailedRun_, {} });
+        if (!task.failedRuns_.empty()) {
+          record.failures_.push_back({ index, s, i, task.failedRuns_, {} });
         }
         if (!task.checkpoint_.empty()) {
-          record.checkpoints_.push_back({ index, s, i, 0, 0, task.checkpoint_ });
+          record.checkpoints_.push_back({ index, s, i, {}, task.checkpoint_ });
         }
       }
       if (step.done_ > 0) {
@@ -317,12 +316,12 @@
   if (!aCheckpoint.empty()) {
     task->checkpoint_ = aCheckpoint;
   }
-  // An end that was recorded and not yet forgotten is listed again to the next owner.
-  if (aKind == EndKind::kFailed && !spec.lasting_ && aRun > task->lastFailedRun_) {
-    ++task->failures_;
-    task->lastFailedRun_ = aRun;
+  // An end that was recorded and not yet forgotten is listed again to the next owner, and ends of
+  // several runs may be listed in any order.
+  if (aKind == EndKind::kFailed && !spec.lasting_ && task->failedRuns_.insert(aRun).second) {
     effect.changed_ = true;
-    effect.failed_ = aMostAttempts > 0 && task->failures_ >= aMostAttempts;
+    effect.failed_ =
+      aMostAttempts > 0 && static_cast<int>(task->failedRuns_.size()) >= aMostAttempts;
   }
   Unplace(aJob, aTask, aRun, {});
   return effect;
--- /dev/null
+++ b/tests/unit/JobTableTest.cpp
@@ -0,0 +1,246 @@
+#include "include/quetzal/jobs/JobTable.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace quetzal;
+using namespace quetzal::jobs;
+
+struct JobTableFixture
+{
+  static StepSpec Step(int aCount, std::vector<int> aAfter = {})
+  {
+    StepSpec step;
+    step.count_ = aCount;
+    step.cpu_ = 1'000;
+    step.memory_ = 100;
+    step.estimateMs_ = 500;
+    step.after_ = std::move(aAfter);
+    return step;
+  }
+
+  static Job MakeOpen(std::vector<StepSpec> aSteps)
+  {
+    JobSpec spec;
+    spec.payload_ = "p";
+    spec.steps_ = std::move(aSteps);
+    Job job = MakeJob("j", "q", spec);
+    OpenDueOccurrences(job, 0);
+    return job;
+  }
+
+  static TaskId Task(int aStep, int aIndex) { return { "j", 0, aStep, aIndex }; }
+
+  EndEffect End(Job& aJob, int aStep, int aIndex, std::int64_t aRun, EndKind aKind) const
+  {
+    return ApplyEnd(aJob, Task(aStep, aIndex), aRun, aKind, {}, mostAttempts_);
+  }
+
+  int mostAttempts_ = 4;
+  clock::Moment now_{};
+};
+
+BOOST_FIXTURE_TEST_SUITE(JobTable, JobTableFixture)
+
+BOOST_AUTO_TEST_CASE(Step_EarlierStepNotDone_IsBlocked)
+{
+  Job job = MakeOpen({ Step(2), Step(1, { 0 }) });
+  BOOST_TEST(job.waiting_ == 2);
+  End(job, 0, 0, 1, EndKind::kDone);
+  BOOST_TEST(!IsUnblocked(job, job.live_.at(0), 1));
+  End(job, 0, 1, 2, EndKind::kDone);
+  BOOST_TEST(IsUnblocked(job, job.live_.at(0), 1));
+  BOOST_TEST(job.waiting_ == 1);
+}
+
+BOOST_AUTO_TEST_CASE(Job_LastTaskDone_IsCompleted)
+{
+  Job job = MakeOpen({ Step(2) });
+  BOOST_TEST(!End(job, 0, 0, 1, EndKind::kDone).completed_);
+  const EndEffect last = End(job, 0, 1, 2, EndKind::kDone);
+  BOOST_TEST(last.completed_);
+  BOOST_TEST(last.changed_);
+}
+
+BOOST_AUTO_TEST_CASE(Task_EndListedAgain_ChangesNothing)
+{
+  Job job = MakeOpen({ Step(2) });
+  End(job, 0, 0, 1, EndKind::kDone);
+  const EndEffect again = End(job, 0, 0, 1, EndKind::kDone);
+  BOOST_TEST(again.known_);
+  BOOST_TEST(!again.changed_);
+  BOOST_TEST(job.live_.at(0).steps_.at(0).done_ == 1);
+}
+
+BOOST_AUTO_TEST_CASE(Task_FailedOften_FailsItsJobAtTheLimitOnly)
+{
+  Job job = MakeOpen({ Step(1) });
+  for (int run = 1; run < mostAttempts_; ++run) {
+    Place(job, Task(0, 0), "w", run, now_);
+    BOOST_TEST(!End(job, 0, 0, run, EndKind::kFailed).failed_);
+  }
+  Place(job, Task(0, 0), "w", mostAttempts_, now_);
+  BOOST_TEST(End(job, 0, 0, mostAttempts_, EndKind::kFailed).failed_);
+}
+
+// Seen on mekong-mesh trouble-3, seed 513309645699: an end that the predecessor had recorded was
+// listed to the successor, which counted it again and failed the job one run too early.
+BOOST_AUTO_TEST_CASE(Task_FailedEndListedToSuccessor_IsCountedOnce)
+{
+  Job job = MakeOpen({ Step(1) });
+  Place(job, Task(0, 0), "w", 7, now_);
+  End(job, 0, 0, 7, EndKind::kFailed);
+  ProgressRecord record;
+  BOOST_REQUIRE(Decode(Encode(ProgressOf(job)), record));
+  Job successor = MakeOpen({ Step(1) });
+  ApplyProgress(successor, record);
+  const EndEffect again = End(successor, 0, 0, 7, EndKind::kFailed);
+  BOOST_TEST(!again.changed_);
+  BOOST_TEST(FindTask(successor, Task(0, 0))->failedRuns_.size() == 1U);
+}
+
+// Seen on mekong-mesh scale-2, seed 511915680866: two failed ends that nobody had recorded were
+// listed to the successor by two workers, the newer run first, and the older one was not counted.
+BOOST_AUTO_TEST_CASE(Task_FailedEndsListedOutOfOrder_AreAllCounted)
+{
+  Job job = MakeOpen({ Step(1) });
+  BOOST_TEST(End(job, 0, 0, 9, EndKind::kFailed).changed_);
+  BOOST_TEST(End(job, 0, 0, 8, EndKind::kFailed).changed_);
+  BOOST_TEST(!End(job, 0, 0, 9, EndKind::kFailed).changed_);
+  BOOST_TEST(FindTask(job, Task(0, 0))->failedRuns_.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(Task_StoppedOrLapsed_IsNoAttempt)
+{
+  Job job = MakeOpen({ Step(1) });
+  int run = 0;
+  for (const EndKind kind : { EndKind::kStopped, EndKind::kLapsed, EndKind::kBroken }) {
+    Place(job, Task(0, 0), "w", ++run, now_);
+    BOOST_TEST(!End(job, 0, 0, run, kind).changed_);
+    BOOST_TEST(job.waiting_ == 1);
+  }
+  BOOST_TEST(FindTask(job, Task(0, 0))->failedRuns_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Task_EndOfAnOlderRun_LeavesTheNewerRunPlaced)
+{
+  Job job = MakeOpen({ Step(1) });
+  Place(job, Task(0, 0), "w", 2, now_);
+  End(job, 0, 0, 1, EndKind::kLapsed);
+  BOOST_CHECK(FindTask(job, Task(0, 0))->phase_ == TaskPhase::kPlaced);
+}
+
+BOOST_AUTO_TEST_CASE(Checkpoint_OfAnEndedRun_GoesToTheNext)
+{
+  Job job = MakeOpen({ Step(1) });
+  Place(job, Task(0, 0), "w", 1, now_);
+  ApplyEnd(job, Task(0, 0), 1, EndKind::kStopped, "c1", 4);
+  BOOST_TEST(FindTask(job, Task(0, 0))->checkpoint_ == "c1");
+}
+
+BOOST_AUTO_TEST_CASE(LastingTask_HoweverItEnds_WaitsAgain)
+{
+  StepSpec step = Step(1);
+  step.lasting_ = true;
+  Job job = MakeOpen({ step });
+  int run = 0;
+  for (const EndKind kind : { EndKind::kDone, EndKind::kFailed, EndKind::kLapsed }) {
+    Place(job, Task(0, 0), "w", ++run, now_);
+    const EndEffect effect = End(job, 0, 0, run, kind);
+    BOOST_TEST(!effect.completed_);
+    BOOST_TEST(!effect.failed_);
+    BOOST_TEST(job.waiting_ == 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Gang_OneMemberDone_IsDoneAsAWhole)
+{
+  StepSpec step = Step(3);
+  step.gang_ = true;
+  Job job = MakeOpen({ step });
+  BOOST_TEST(End(job, 0, 1, 5, EndKind::kDone).completed_);
+}
+
+BOOST_AUTO_TEST_CASE(Repetitions_BecomeDueOneByOne_AndCompleteTheJobTogether)
+{
+  JobSpec spec;
+  spec.steps_ = { Step(1) };
+  spec.repetitions_ = 2;
+  spec.firstMs_ = 1'000;
+  spec.intervalMs_ = 500;
+  Job job = MakeJob("j", "q", spec);
+  BOOST_TEST(OpenDueOccurrences(job, 999) == 1'000);
+  BOOST_TEST(job.waiting_ == 0);
+  BOOST_TEST(OpenDueOccurrences(job, 1'000) == 1'500);
+  BOOST_TEST(!ApplyEnd(job, { "j", 0, 0, 0 }, 1, EndKind::kDone, {}, 4).completed_);
+  BOOST_TEST(OpenDueOccurrences(job, 1'500) == 0);
+  BOOST_TEST(ApplyEnd(job, { "j", 1, 0, 0 }, 2, EndKind::kDone, {}, 4).completed_);
+}
+
+BOOST_AUTO_TEST_CASE(Progress_StoredAndRead_IsTheSame)
+{
+  Job job = MakeOpen({ Step(3), Step(2, { 0 }) });
+  Place(job, Task(0, 2), "w", 1, now_);
+  ApplyEnd(job, Task(0, 2), 1, EndKind::kFailed, "c", 4);
+  End(job, 0, 0, 2, EndKind::kDone);
+  ProgressRecord record;
+  BOOST_REQUIRE(Decode(Encode(ProgressOf(job)), record));
+  Job successor = MakeOpen({ Step(3), Step(2, { 0 }) });
+  ApplyProgress(successor, record);
+  BOOST_TEST(Encode(ProgressOf(successor)) == Encode(ProgressOf(job)));
+  BOOST_TEST(successor.waiting_ == 2);
+  BOOST_TEST(FindTask(successor, Task(0, 2))->checkpoint_ == "c");
+}
+
+BOOST_AUTO_TEST_CASE(Job_StoredAndRead_IsTheSame)
+{
+  JobSpec spec;
+  spec.payload_ = std::string("a\0b", 3);
+  StepSpec step = Step(2);
+  step.requiredLabel_ = "gpu";
+  step.dataRack_ = "r1";
+  step.lasting_ = true;
+  step.targetMs_ = 40;
+  step.mayMiss_ = 1;
+  spec.steps_ = { step };
+  spec.repetitions_ = 3;
+  spec.firstMs_ = 5;
+  spec.intervalMs_ = 6;
+  JobRecord record;
+  BOOST_REQUIRE(Decode(Encode(MakeJobRecord("c", "q", spec, 9)), record));
+  BOOST_CHECK(SpecOf(record) == spec);
+}
+
+BOOST_AUTO_TEST_CASE(Spec_WithoutSense_IsRefusedWithAReason)
+{
+  std::string why;
+  JobSpec none;
+  BOOST_TEST(!IsValid(none, why));
+  JobSpec forward;
+  forward.steps_ = { Step(1, { 1 }), Step(1) };
+  BOOST_TEST(!IsValid(forward, why));
+  BOOST_TEST(why == "step 0 depends on a step that is not earlier");
+  JobSpec negative;
+  negative.steps_ = { Step(1) };
+  negative.steps_[0].cpu_ = -1;
+  BOOST_TEST(!IsValid(negative, why));
+  JobSpec good;
+  good.steps_ = { Step(1) };
+  BOOST_TEST(IsValid(good, why));
+}
+
+BOOST_AUTO_TEST_CASE(Remainder_AfterTheFirstStep_IsTheSecondOnly)
+{
+  Job job = MakeOpen({ Step(2), Step(4, { 0 }) });
+  BOOST_TEST(RemainderOf(job).chain_.count() == 1'000);
+  BOOST_TEST(RemainderOf(job).work_ == 3.0);
+  End(job, 0, 0, 1, EndKind::kDone);
+  End(job, 0, 1, 2, EndKind::kDone);
+  BOOST_TEST(RemainderOf(job).chain_.count() == 500);
+  BOOST_TEST(RemainderOf(job).widestCores_ == 4.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
--- /dev/null
+++ b/tests/unit/MemoryStore.cpp
@@ -0,0 +1,192 @@
+#include "tests/unit/MemoryStore.h"
+
+namespace quetzal::test {
+
+void
+MemoryStore::Get(const std::string& aKey, std::function<void(const store::ReadResult&)> aDone)
+{
+  calls_.push_back([this, aKey, aDone] {
+    store::ReadResult result{ store::Status::kSucceeded, {}, false, revision_ };
+    if (const auto item = items_.find(aKey); item != items_.end()) {
+      result.items_.push_back(item->second);
+    }
+    aDone(result);
+  });
+}
+
+void
+MemoryStore::List(const std::string& aPrefix,
+                  const std::string& aAfter,
+                  std::function<void(const store::ReadResult&)> aDone)
+{
+  calls_.push_back([this, aPrefix, aAfter, aDone] {
+    constexpr std::size_t kPage = 3;
+    store::ReadResult result{ store::Status::kSucceeded, {}, false, revision_ };
+    for (const auto& [key, item] : items_) {
+      if (!key.starts_with(aPrefix) || key <= aAfter) {
+        continue;
+      }
+      if (result.items_.size() == kPage) {
+        result.hasMore_ = true;
+        break;
+      }
+      result.items_.push_back(item);
+    }
+    aDone(result);
+  });
+}
+
+void
+MemoryStore::Watch(const std::string& aPrefix,
+                   std::int64_t aAfter,
+                   std::chrono::milliseconds /*aWait*/,
+                   std::function<void(const store::ChangesResult&)> aDone)
+{
+  calls_.push_back([this, aPrefix, aAfter, aDone] {
+    store::ChangesResult result{ store::Status::kSucceeded, {}, revision_ };
+    if (aAfter < compacted_) {
+      result.status_ = store::Status::kCompacted;
+    }
+    for (const store::KeyChange& change : history_) {
+      if (change.item_.modRevision_ > aAfter && change.item_.key_.starts_with(aPrefix)) {
+        result.changes_.push_back(change);
+      }
+    }
+    aDone(result);
+  });
+}
+
+void
+MemoryStore::Commit(const store::Change& aChange,
+                    std::function<void(const store::CommitResult&)> aDone)
+{
+  ++commits_;
+  calls_.push_back([this, aChange, aDone] {
+    Fate fate = Fate::kAnswered;
+    if (!fates_.empty()) {
+      fate = fates_.front();
+      fates_.pop_front();
+    }
+    switch (fate) {
+      case Fate::kAnswered:
+        aDone(Apply(aChange));
+        return;
+      case Fate::kAnswerLost:
+        Apply(aChange);
+        aDone({});
+        return;
+      case Fate::kLate:
+        late_.push_back(aChange);
+        aDone({});
+        return;
+      case Fate::kRefused:
+        aDone({ store::Status::kRefused, 0, {} });
+        return;
+    }
+  });
+}
+
+void
+MemoryStore::GrantLease(std::chrono::milliseconds aTerm,
+                        std::function<void(const store::LeaseResult&)> aDone)
+{
+  calls_.push_back(
+    [this, aTerm, aDone] { aDone({ store::Status::kSucceeded, ++leases_, aTerm }); });
+}
+
+void
+MemoryStore::KeepLease(std::int64_t aLease, std::function<void(const store::LeaseResult&)> aDone)
+{
+  calls_.push_back([aLease, aDone] {
+    aDone({ store::Status::kSucceeded, aLease, std::chrono::milliseconds(0) });
+  });
+}
+
+void
+MemoryStore::EndLease(std::int64_t aLease, std::function<void(const store::LeaseResult&)> aDone)
+{
+  KeepLease(aLease, std::move(aDone));
+}
+
+bool
+MemoryStore::Step()
+{
+  if (calls_.empty()) {
+    return false;
+  }
+  const auto call = std::move(calls_.front());
+  calls_.pop_front();
+  call();
+  return true;
+}
+
+void
+MemoryStore::StepAll()
+{
+  while (Step()) {
+  }
+}
+
+void
+MemoryStore::RunLate()
+{
+  std::vector<store::Change> late;
+  late.swap(late_);
+  for (const store::Change& change : late) {
+    Apply(change);
+  }
+}
+
+std::int64_t
+MemoryStore::Put(const std::string& aKey, const std::string& aValue)
+{
+  store::Change change;
+  change.puts_.push_back({ aKey, aValue, 0 });
+  return Apply(change).revision_;
+}
+
+std::int64_t
+MemoryStore::RevisionOf(const std::string& aKey) const
+{
+  const auto item = items_.find(aKey);
+  return item == items_.end() ? 0 : item->second.modRevision_;
+}
+
+store::CommitResult
+MemoryStore::Apply(const store::Change& aChange)
+{
+  store::CommitResult result;
+  bool holds = true;
+  for (const store::Expectation& row : aChange.expected_) {
+    holds = holds && RevisionOf(row.key_) == row.revision_;
+    if (const auto item = items_.find(row.key_); item != items_.end()) {
+      result.current_.push_back(item->second);
+    }
+  }
+  if (!holds) {
+    result.status_ = store::Status::kConflict;
+    return result;
+  }
+  ++revision_;
+  for (const store::Write& put : aChange.puts_) {
+    store::KeyValue& item = items_[put.key_];
+    item.key_ = put.key_;
+    item.value_ = put.value_;
+    item.modRevision_ = revision_;
+    history_.push_back({ item, false });
+  }
+  for (const std::string& key : aChange.removes_) {
+    items_.erase(key);
+    store::KeyChange change;
+    change.item_.key_ = key;
+    change.item_.modRevision_ = revision_;
+    change.deleted_ = true;
+    history_.push_back(change);
+  }
+  result.status_ = store::Status::kSucceeded;
+  result.revision_ = revision_;
+  result.current_.clear();
+  return result;
+}
+
+} // namespace quetzal::test
--- /dev/null
+++ b/tests/unit/PlannerTest.cpp
@@ -0,0 +1,236 @@
+#include "include/quetzal/fleet/Forecast.h"
+#include "include/quetzal/fleet/Planner.h"
+
+#include <boost/test/unit_test.hpp>
+#include <numeric>
+
+namespace {
+
+using namespace quetzal;
+using namespace quetzal::fleet;
+using namespace std::chrono_literals;
+
+/** Pools "a" and "b" with hosts of 10 cores, and the standby pool "s". */
+struct PlannerFixture
+{
+  PlannerFixture()
+  {
+    view_.standbyPool_ = "s";
+    view_.pools_["a"].fresh_ = true;
+    view_.pools_["b"].fresh_ = true;
+    options_.keptHosts_ = 1;
+    options_.slackHosts_ = 0;
+    options_.margin_ = 1;
+  }
+
+  void AddHost(const std::string& aName, const std::string& aPool, int aRuns = 0)
+  {
+    Machine machine;
+    machine.name_ = aName;
+    machine.pool_ = aPool;
+    machine.state_ = MachineState::kUp;
+    machine.worker_ = "w-" + aName;
+    machine.cpu_ = 10'000;
+    view_.machines_.push_back(machine);
+    if (aPool != "s") {
+      view_.pools_[aPool].workers_[machine.worker_].runs_ = aRuns;
+    }
+  }
+
+  WorkerLoad& Load(const std::string& aName, const std::string& aPool)
+  {
+    return view_.pools_[aPool].workers_["w-" + aName];
+  }
+
+  void AddWave(std::vector<std::string> aMachines, int aMostAtOnce)
+  {
+    WaveProgress wave;
+    wave.request_ = { 1, aMachines, 20, aMostAtOnce };
+    for (const std::string& machine : aMachines) {
+      wave.machines_[machine] = {};
+    }
+    view_.waves_.push_back(wave);
+  }
+
+  FleetPlan Plan() const { return MakePlan(view_, options_, now_); }
+
+  bool Moves(const std::string& aMachine, const std::string& aPool) const
+  {
+    const FleetPlan plan = Plan();
+    const MoveOrder order{ aMachine, aPool };
+    return std::find(plan.moves_.begin(), plan.moves_.end(), order) != plan.moves_.end();
+  }
+
+  FleetView view_;
+  PlannerOptions options_;
+  clock::Moment now_ = clock::Moment() + 1h;
+};
+
+BOOST_FIXTURE_TEST_SUITE(Planner, PlannerFixture)
+
+BOOST_AUTO_TEST_CASE(Pool_LacksHosts_DrawsThemFromTheReserve)
+{
+  AddHost("1", "a", 5);
+  AddHost("2", "b");
+  AddHost("3", "s");
+  AddHost("4", "s");
+  view_.pools_["a"].urgentCores_ = 30;
+  const FleetPlan plan = Plan();
+  BOOST_TEST(plan.moves_.size() == 2U);
+  BOOST_TEST(Moves("3", "a"));
+}
+
+BOOST_AUTO_TEST_CASE(Pool_BeyondItsNeed_ClosesIdleHostsFirstAndReturnsThemOnceReleased)
+{
+  AddHost("1", "a", 1);
+  AddHost("2", "a");
+  AddHost("3", "b");
+  view_.pools_["a"].urgentCores_ = 5;
+  BOOST_TEST(Plan().moves_.empty());
+  BOOST_TEST(Plan().closed_.contains("w-2"));
+  BOOST_TEST(!Plan().closed_.contains("w-1"));
+  Load("2", "a").closed_ = true;
+  Load("2", "a").released_ = true;
+  BOOST_TEST(Moves("2", "s"));
+}
+
+BOOST_AUTO_TEST_CASE(Pool_NeedsWhatAnotherHasReleased_GetsItDirectly)
+{
+  AddHost("1", "a");
+  AddHost("2", "a");
+  AddHost("3", "b", 9);
+  Load("1", "a").closed_ = true;
+  Load("1", "a").released_ = true;
+  view_.pools_["b"].urgentCores_ = 20;
+  BOOST_TEST(Moves("1", "b"));
+}
+
+BOOST_AUTO_TEST_CASE(Host_WithLastingTasks_IsNeverClosedForAMove)
+{
+  AddHost("1", "a", 1);
+  AddHost("2", "b", 9);
+  Load("1", "a").hasLasting_ = true;
+  view_.pools_["b"].urgentCores_ = 200;
+  BOOST_TEST(Plan().closed_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Report_Old_GivesNothingAway)
+{
+  AddHost("1", "a");
+  AddHost("2", "a");
+  AddHost("3", "b", 9);
+  Load("1", "a").closed_ = true;
+  Load("1", "a").released_ = true;
+  view_.pools_["a"].fresh_ = false;
+  view_.pools_["b"].urgentCores_ = 20;
+  BOOST_TEST(Plan().moves_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Shares_HostsDoNotSuffice_UrgentWorkGoesBeforeForecasts)
+{
+  std::map<std::string, PoolDemand> pools;
+  pools["a"].urgentCores_ = 40;
+  pools["b"].forecastCores_ = 100;
+  const auto shares = ShareHosts(pools, 6, 10, options_);
+  BOOST_TEST(shares.at("a") >= 4.0);
+  BOOST_TEST(shares.at("b") <= 2.0);
+}
+
+BOOST_AUTO_TEST_CASE(Shares_TwoQueuesRiseTogether_GetTheSamePartOfTheirNeed)
+{
+  std::map<std::string, PoolDemand> pools;
+  pools["a"].urgentCores_ = 40;
+  pools["b"].urgentCores_ = 80;
+  const auto shares = ShareHosts(pools, 6, 10, options_);
+  BOOST_TEST(shares.at("a") == 2.0, boost::test_tools::tolerance(0.01));
+  BOOST_TEST(shares.at("b") == 4.0, boost::test_tools::tolerance(0.01));
+}
+
+BOOST_AUTO_TEST_CASE(Shares_LastingTasks_ComeBeforeEverything)
+{
+  std::map<std::string, PoolDemand> pools;
+  pools["a"].lastingCores_ = 30;
+  pools["b"].urgentCores_ = 1'000;
+  BOOST_TEST(ShareHosts(pools, 5, 10, options_).at("a") >= 3.0);
+}
+
+BOOST_AUTO_TEST_CASE(Wave_FreeHosts_AreOrderedUpToItsBound)
+{
+  options_.mayPark_ = false;
+  for (const char* name : { "1", "2", "3" }) {
+    AddHost(name, "s");
+  }
+  AddWave({ "1", "2", "3" }, 2);
+  BOOST_TEST(Plan().maintenance_.size() == 2U);
+  view_.waves_[0].machines_["1"].phase_ = MaintenancePhase::kOrdered;
+  BOOST_TEST(Plan().maintenance_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Wave_HostDownForIt_CountsThoughAnEarlierOwnerOrderedIt)
+{
+  AddHost("1", "s");
+  AddHost("2", "s");
+  view_.machines_[0].state_ = MachineState::kMaintenance;
+  AddWave({ "1", "2" }, 1);
+  BOOST_TEST(Plan().maintenance_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Wave_HostWithLastingTasks_IsVacatedBeforeItIsOrdered)
+{
+  AddHost("1", "a", 1);
+  Load("1", "a").hasLasting_ = true;
+  view_.pools_["a"].lastingCores_ = 5;
+  AddWave({ "1" }, 1);
+  const FleetPlan plan = Plan();
+  BOOST_TEST(plan.maintenance_.empty());
+  BOOST_TEST(plan.vacate_.contains("w-1"));
+  Load("1", "a") = { 0, false, true, true };
+  BOOST_TEST(Plan().maintenance_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Wave_HostOrderedButNeverSeenAway_IsOrderedAgain)
+{
+  AddHost("1", "s");
+  AddWave({ "1" }, 1);
+  MaintenanceState& state = view_.waves_[0].machines_["1"];
+  state.phase_ = MaintenancePhase::kOrdered;
+  state.workerBefore_ = "w-1";
+  state.orderedAt_ = now_;
+  UpdateWave(view_.waves_[0], view_.machines_, 2s, now_ + 1s);
+  BOOST_CHECK(view_.waves_[0].machines_["1"].phase_ == MaintenancePhase::kOrdered);
+  UpdateWave(view_.waves_[0], view_.machines_, 2s, now_ + 4s);
+  BOOST_CHECK(view_.waves_[0].machines_["1"].phase_ == MaintenancePhase::kPending);
+  BOOST_TEST(!view_.waves_[0].completed_);
+}
+
+BOOST_AUTO_TEST_CASE(Wave_EveryHostBack_IsCompleted)
+{
+  AddHost("1", "s");
+  AddWave({ "1", "gone" }, 1);
+  MaintenanceState& state = view_.waves_[0].machines_["1"];
+  state.phase_ = MaintenancePhase::kOrdered;
+  state.workerBefore_ = "earlier";
+  state.orderedAt_ = now_;
+  UpdateWave(view_.waves_[0], view_.machines_, 2s, now_ + 1s);
+  BOOST_TEST(view_.waves_[0].completed_);
+}
+
+BOOST_AUTO_TEST_CASE(Forecast_RisingArrivals_GoBeyondTheRate)
+{
+  const std::deque<Arrival> rising{ { now_ - 900ms, 10 }, { now_ - 100ms, 30 } };
+  const std::deque<Arrival> level{ { now_ - 900ms, 30 }, { now_ - 100ms, 30 } };
+  BOOST_TEST(ForecastCores(rising, now_, 500ms, 2s) > 60.0);
+  BOOST_TEST(ForecastCores(level, now_, 500ms, 2s) == 60.0);
+  BOOST_TEST(ForecastCores({}, now_, 500ms, 2s) == 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(Urgency_DueSoon_IsBoundedByTheWidthOfTheJob)
+{
+  BOOST_TEST(UrgentCores({ 20, 100, now_ + 10s }, now_) == 2.0);
+  BOOST_TEST(UrgentCores({ 20, 8, now_ + 1s }, now_) == 8.0);
+  BOOST_TEST(UrgentCores({ 20, 100, now_ - 1s }, now_) == 5.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
