Take a worker that is listed no more as gone at a takeover; tests of a cell over fake workers

Ruled out: capacity (hosts were idle), the fleet (no order was out). A worker of the roster that is neither registered for 2.5 s nor reachable is taken as gone, and the roster shrinks when workers leave.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -137,6 +137,7 @@
   {
     Worker* worker_ = nullptr;
     bool rosterAsked_ = false;
+    clock::Moment unregisteredSince_{}; ///< Set while the store's list lacks the worker.
     double suspicion_ = 0;
   };
 
@@ -146,6 +147,7 @@
   void AddWorker(const workers::Registration& aRegistration);
   void RemoveWorker(const std::string& aId);
   void AskRoster();
+  std::vector<jobs::RosterEntry> Roster() const;
   void GiveUpSilent();
   bool IsSettled() const;
 
--- a/include/quetzal/cells/CellWriter.h
+++ b/include/quetzal/cells/CellWriter.h
@@ -54,6 +54,9 @@
   /** Replaces the workers that a successor must ask; in force once the callback comes. */
   void SetRoster(std::vector<jobs::RosterEntry> aRoster, std::function<void()> aDone);
 
+  /** Replaces the roster as well, but with the next change: for workers that need not be asked. */
+  void ShrinkRoster(std::vector<jobs::RosterEntry> aRoster) { self_.roster_ = std::move(aRoster); }
+
   /** Writes nothing any more; whoever waits learns that the outcome is not known. */
   void Abandon();
 
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -16,6 +16,8 @@
 constexpr clock::Milliseconds kPlaceDelay{ 8 };
 constexpr clock::Milliseconds kHouseInterval{ 200 };
 constexpr clock::Milliseconds kBlindSlack{ 300 };
+/** A live worker whose registration was lost with the store is listed again within this time. */
+constexpr clock::Milliseconds kRegistrationReturn{ 2'500 };
 /** How long a task waits after a worker refused its start. */
 constexpr clock::Milliseconds kRefusedPause{ 60 };
 /** Told to callers whose job cannot be stored now. */
@@ -289,14 +291,22 @@
   }
 }
 
+std::vector<jobs::RosterEntry>
+Cell::Roster() const
+{
+  std::vector<jobs::RosterEntry> roster;
+  for (const auto& [id, row] : workers_) {
+    const settings::Endpoint& endpoint = row.worker_->Registration().endpoint_;
+    roster.push_back({ id, endpoint.address_, endpoint.port_ });
+  }
+  return roster;
+}
+
 void
 Cell::AskRoster()
 {
   std::vector<std::string> added;
-  std::vector<jobs::RosterEntry> roster;
   for (auto& [id, row] : workers_) {
-    const settings::Endpoint& endpoint = row.worker_->Registration().endpoint_;
-    roster.push_back({ id, endpoint.address_, endpoint.port_ });
     if (!row.worker_->IsInRoster() && !row.rosterAsked_) {
       row.rosterAsked_ = true;
       added.push_back(id);
@@ -305,7 +315,7 @@
   if (added.empty()) {
     return;
   }
-  writer_.SetRoster(std::move(roster), [this, added] {
+  writer_.SetRoster(Roster(), [this, added] {
     for (const std::string& id : added) {
       if (const auto row = workers_.find(id); row != workers_.end()) {
         row->second.worker_->MarkInRoster();
@@ -331,11 +341,16 @@
   const auto lease = std::chrono::duration_cast<clock::Milliseconds>(
     context_.times_.lease_ * (1 + workers::kClockSlowness));
   // The predecessor's tenure had ended before this owner's began.
-  if (now < begun_ + kTenureGrace + lease + kBlindSlack) {
-    return;
-  }
+  const bool leasesOver = now >= begun_ + kTenureGrace + lease + kBlindSlack;
   for (auto& [id, row] : workers_) {
-    if (!row.worker_->IsSettled()) {
+    if (row.worker_->IsRegistered()) {
+      row.unregisteredSince_ = {};
+    } else if (row.unregisteredSince_ == clock::Moment{} && context_.feed_->HasWorkers()) {
+      row.unregisteredSince_ = now;
+    }
+    const bool isGone = row.unregisteredSince_ != clock::Moment{} &&
+                        now - row.unregisteredSince_ > kRegistrationReturn;
+    if (!row.worker_->IsSettled() && (leasesOver || isGone)) {
       log::Warn("cell", "event=worker-given-up cell=", service_, " worker=", id);
       row.worker_->GiveUp();
     }
@@ -1150,6 +1165,9 @@
   for (const std::string& id : gone) {
     RemoveWorker(id);
   }
+  if (!gone.empty()) {
+    writer_.ShrinkRoster(Roster());
+  }
   for (auto& [id, job] : jobs_) {
     if (job.stored_ && !job.ending_ && !jobs::IsFinal(job.state_) && job.spec_.repetitions_ > 0) {
       jobs::OpenDueOccurrences(job, UnixMs());
--- /dev/null
+++ b/tests/unit/CellTest.cpp
@@ -0,0 +1,366 @@
+#include "include/quetzal/cells/Cell.h"
+#include "include/quetzal/node/CellClaim.h"
+#include "tests/unit/FakeWorkers.h"
+#include "tests/unit/MemoryStore.h"
+
+#include <QtCore/QCoreApplication>
+#include <QtCore/QElapsedTimer>
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace quetzal;
+using namespace quetzal::cells;
+using namespace quetzal::test;
+using namespace std::chrono_literals;
+
+/** A cell "svc" with queue "q", over workers and a store in memory. */
+struct CellFixture
+{
+  CellFixture()
+  {
+    jobs::Queue queue;
+    queue.name_ = "q";
+    queue.service_ = "svc";
+    queue.mostAttempts_ = 3;
+    queue.objectiveMs_ = 1'000;
+    feed_.configuration_.version_ = 1;
+    feed_.configuration_.queues_ = { queue };
+    feed_.configuration_.services_ = { { "svc", false, true } };
+  }
+
+  FakeWorker& AddWorker(const std::string& aId)
+  {
+    FakeWorker& worker = fleet_.Add(aId);
+    feed_.Register(aId, "svc");
+    return worker;
+  }
+
+  /** Takes the cell over as its next owner would. */
+  std::unique_ptr<Cell> TakeOver(const std::string& aOwner)
+  {
+    jobs::OwnerRecord owner;
+    owner.owner_ = aOwner;
+    owner.incarnation_ = aOwner;
+    std::optional<node::ClaimedCell> won;
+    node::CellClaim claim(
+      store_, "svc", owner, 1, store_.RevisionOf(node::CellKey("svc")), nullptr);
+    QObject::connect(&claim, &node::CellClaim::Won, &claim, [&won](const auto& aCell) {
+      won = aCell;
+    });
+    claim.Begin();
+    store_.StepAll();
+    BOOST_REQUIRE(won.has_value());
+    CellContext context;
+    context.store_ = &store_;
+    context.feed_ = &feed_;
+    context.makeWorker_ = fleet_.Factory();
+    context.metrics_ = &metrics_;
+    context.times_ = times_;
+    context.tenure_ = [this] { return tenure_; };
+    return std::make_unique<Cell>("svc", context, owner, won->fence_, won->inheritance_, nullptr);
+  }
+
+  static jobs::JobSpec Spec(int aTasks, bool aLasting = false)
+  {
+    jobs::StepSpec step;
+    step.count_ = aTasks;
+    step.cpu_ = 1'000;
+    step.memory_ = 10;
+    step.estimateMs_ = 100;
+    step.lasting_ = aLasting;
+    step.mayMiss_ = aLasting ? 1 : 0;
+    jobs::JobSpec spec;
+    spec.payload_ = "payload";
+    spec.steps_ = { step };
+    return spec;
+  }
+
+  bool RunUntil(const std::function<bool()>& aCondition, qint64 aBoundMs = 20'000)
+  {
+    QElapsedTimer timer;
+    timer.start();
+    while (!aCondition()) {
+      if (timer.elapsed() > aBoundMs) {
+        return false;
+      }
+      QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents, 5);
+      store_.StepAll();
+    }
+    return true;
+  }
+
+  void RunFor(std::chrono::milliseconds aTime)
+  {
+    QElapsedTimer timer;
+    timer.start();
+    RunUntil([&] { return timer.elapsed() >= aTime.count(); });
+  }
+
+  Verdict Submit(Cell& aCell, const std::string& aId, const jobs::JobSpec& aSpec)
+  {
+    std::optional<Verdict> verdict;
+    aCell.Submit("q", aId, aSpec, [&verdict](const Answer& aAnswer) { verdict = aAnswer.verdict_; });
+    BOOST_TEST(RunUntil([&verdict] { return verdict.has_value(); }));
+    return verdict.value_or(Verdict::kUndecided);
+  }
+
+  static std::string StateOf(const Cell& aCell, const std::string& aId)
+  {
+    std::string state = "none";
+    aCell.Show(aId, [&state](const Answer& aAnswer) {
+      state = aAnswer.verdict_ == Verdict::kShown ? jobs::ToString(aAnswer.state_)
+                                                  : ToString(aAnswer.verdict_);
+    });
+    return state;
+  }
+
+  bool WaitForRun(FakeWorker& aWorker, const jobs::TaskId& aTask)
+  {
+    return RunUntil([&] { return aWorker.running_.contains(aTask); });
+  }
+
+  MemoryStore store_;
+  FakeFeed feed_;
+  FakeFleet fleet_;
+  metrics::Registry metrics_;
+  clock::Milliseconds tenure_{ 0 };
+  LeaseTimes times_{ 400ms, 200ms };
+  const jobs::TaskId first_{ "job1", 0, 0, 0 };
+};
+
+BOOST_FIXTURE_TEST_SUITE(CellOwnership, CellFixture)
+
+BOOST_AUTO_TEST_CASE(Job_AllTasksDone_IsShownAsCompletedOnceStored)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  BOOST_CHECK(Submit(*cell, "job1", Spec(2)) == Verdict::kAccepted);
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 2; }));
+  worker.End(first_, jobs::EndKind::kDone);
+  worker.End({ "job1", 0, 0, 1 }, jobs::EndKind::kDone);
+  BOOST_TEST(RunUntil([&] { return StateOf(*cell, "job1") == "completed"; }));
+  jobs::JobRecord record;
+  BOOST_REQUIRE(jobs::Decode(store_.Items().at(JobKey("job1")).value_, record));
+  BOOST_TEST(record.state_ == static_cast<int>(jobs::JobState::kCompleted));
+  BOOST_TEST(RunUntil([&] { return worker.ended_.empty(); }));
+}
+
+BOOST_AUTO_TEST_CASE(Job_HandedInAgain_IsOneJob)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  BOOST_CHECK(Submit(*cell, "job1", Spec(1)) == Verdict::kAccepted);
+  BOOST_CHECK(Submit(*cell, "job1", Spec(1)) == Verdict::kAccepted);
+  BOOST_TEST(WaitForRun(worker, first_));
+  RunFor(100ms);
+  BOOST_TEST(worker.starts_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(End_NotStored_IsNotForgottenByTheWorker)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(2));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 2; }));
+  for (int i = 0; i < 100; ++i) {
+    store_.Expect(Fate::kRefused);
+  }
+  worker.End(first_, jobs::EndKind::kDone);
+  RunFor(500ms);
+  BOOST_TEST(worker.ended_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Takeover_RunningTasks_AreAdoptedNotStartedAgain)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(2));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 2; }));
+  worker.End(first_, jobs::EndKind::kDone);
+  cell->Abandon();
+  cell = TakeOver("b");
+  RunFor(300ms);
+  BOOST_TEST(worker.starts_.size() == 2U);
+  worker.End({ "job1", 0, 0, 1 }, jobs::EndKind::kDone);
+  BOOST_TEST(RunUntil([&] { return StateOf(*cell, "job1") == "completed"; }));
+  BOOST_TEST(worker.starts_.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(Takeover_WorkerSilent_ItsTasksWaitUntilTheirLeaseIsSurelyOver)
+{
+  FakeWorker& silent = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(1));
+  BOOST_TEST(WaitForRun(silent, first_));
+  cell->Abandon();
+  silent.reachable_ = false;
+  FakeWorker& other = AddWorker("w2");
+  QElapsedTimer timer;
+  timer.start();
+  cell = TakeOver("b");
+  BOOST_TEST(WaitForRun(other, first_));
+  BOOST_TEST(timer.elapsed() >= (kTenureGrace + 400ms).count());
+}
+
+// Seen on smilga-riga, hunt-8f0a-15: a worker that had left the pool kept a lasting task waiting for
+// more than 7 s after a takeover.
+BOOST_AUTO_TEST_CASE(Takeover_WorkerOfTheRosterIsNoLongerRegistered_IsTakenAsGone)
+{
+  times_.lease_ = 5s;
+  FakeWorker& gone = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(1, true));
+  BOOST_TEST(WaitForRun(gone, first_));
+  cell->Abandon();
+  gone.reachable_ = false;
+  gone.Reboot();
+  feed_.Unregister("w1");
+  FakeWorker& other = AddWorker("w2");
+  feed_.Unregister("w2");
+  feed_.Register("w2", "svc");
+  QElapsedTimer timer;
+  timer.start();
+  cell = TakeOver("b");
+  BOOST_TEST(WaitForRun(other, first_));
+  constexpr qint64 kReturnMs = 2'500;
+  BOOST_TEST(timer.elapsed() >= kReturnMs);
+  BOOST_TEST(timer.elapsed() < kReturnMs + 1'500);
+}
+
+BOOST_AUTO_TEST_CASE(Start_Unanswered_IsBarredBeforeTheTaskGoesElsewhere)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  RunFor(100ms);
+  worker.startFates_ = { OrderFate::kLate };
+  Submit(*cell, "job1", Spec(1));
+  BOOST_TEST(RunUntil([&] { return worker.running_.contains(first_); }));
+  const std::int64_t run = worker.running_.at(first_).run_;
+  worker.RunLate();
+  BOOST_TEST(worker.running_.at(first_).run_ == run);
+  BOOST_TEST(worker.starts_.size() == 1U);
+  BOOST_TEST(worker.barred_.at(first_) < run);
+}
+
+BOOST_AUTO_TEST_CASE(Start_DoneButUnanswered_IsFoundRunningAndKept)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  RunFor(100ms);
+  worker.startFates_ = { OrderFate::kDoneUnanswered };
+  Submit(*cell, "job1", Spec(1));
+  RunFor(600ms);
+  BOOST_TEST(worker.starts_.size() == 1U);
+  worker.End(first_, jobs::EndKind::kDone);
+  BOOST_TEST(RunUntil([&] { return StateOf(*cell, "job1") == "completed"; }));
+}
+
+BOOST_AUTO_TEST_CASE(Worker_Reborn_ItsTasksStartAgain)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(1));
+  BOOST_TEST(WaitForRun(worker, first_));
+  worker.Reboot();
+  BOOST_TEST(RunUntil([&] { return worker.starts_.size() == 2; }));
+}
+
+BOOST_AUTO_TEST_CASE(Worker_SilentWhileTheTenureIsOver_KeepsItsTasks)
+{
+  FakeWorker& worker = AddWorker("w1");
+  FakeWorker& other = AddWorker("w2");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(1));
+  BOOST_TEST(RunUntil([&] { return fleet_.RunsOf(first_) == 1; }));
+  FakeWorker& runner = worker.running_.contains(first_) ? worker : other;
+  runner.reachable_ = false;
+  tenure_ = 1ms;
+  RunFor(1'500ms);
+  BOOST_TEST(worker.starts_.size() + other.starts_.size() == 1U);
+  tenure_ = 0ms;
+  BOOST_TEST(RunUntil([&] { return worker.starts_.size() + other.starts_.size() == 2; }));
+}
+
+BOOST_AUTO_TEST_CASE(Owner_MeetsAHigherFence_LosesTheCell)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  bool lost = false;
+  QObject::connect(cell.get(), &Cell::Lost, cell.get(), [&lost] { lost = true; });
+  RunFor(50ms);
+  worker.fence_ = cell->Fence() + 1;
+  Submit(*cell, "job1", Spec(1));
+  BOOST_TEST(RunUntil([&lost] { return lost; }));
+  BOOST_TEST(worker.starts_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Job_Cancelled_StopsItsTasksAndStaysCancelled)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(2, true));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 2; }));
+  std::optional<Verdict> verdict;
+  cell->Cancel("job1", [&verdict](const Answer& aAnswer) { verdict = aAnswer.verdict_; });
+  BOOST_TEST(RunUntil([&verdict] { return verdict.has_value(); }));
+  BOOST_CHECK(*verdict == Verdict::kCancelled);
+  BOOST_TEST(RunUntil([&] { return worker.running_.empty(); }));
+  RunFor(100ms);
+  BOOST_TEST(worker.starts_.size() == 2U);
+  BOOST_TEST(StateOf(*cell, "job1") == "cancelled");
+}
+
+BOOST_AUTO_TEST_CASE(Vacate_SeveralTasksOfOneStep_TakesOneAwayAtATime)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(3, true));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 3; }));
+  RunFor(100ms);
+  cell->CloseWorkers({ "w1" });
+  for (int i = 0; i < 5; ++i) {
+    cell->Vacate("w1");
+    RunFor(30ms);
+  }
+  BOOST_TEST(worker.running_.size() == 2U);
+  FakeWorker& other = AddWorker("w2");
+  BOOST_TEST(RunUntil([&] { return other.running_.size() == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(Worker_Draining_GetsNothingAndLosesItsLastingTasks)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(1, true));
+  BOOST_TEST(WaitForRun(worker, first_));
+  FakeWorker& other = AddWorker("w2");
+  feed_.registrations_.at("w1").draining_ = true;
+  Q_EMIT feed_.WorkersChanged();
+  BOOST_TEST(WaitForRun(other, first_));
+  BOOST_TEST(worker.running_.empty());
+  Submit(*cell, "job2", Spec(4));
+  BOOST_TEST(RunUntil([&] { return other.running_.size() == 5; }));
+}
+
+BOOST_AUTO_TEST_CASE(Store_Away_RefusesAtOnceWhatItCannotStore)
+{
+  AddWorker("w1");
+  const auto cell = TakeOver("a");
+  RunFor(50ms);
+  for (int i = 0; i < 1'000; ++i) {
+    store_.Expect(Fate::kRefused);
+  }
+  cell->Submit("q", "job1", Spec(1), [](const Answer&) {});
+  RunFor(1'800ms);
+  std::optional<Verdict> verdict;
+  cell->Submit("q", "job2", Spec(1), [&verdict](const Answer& aAnswer) {
+    verdict = aAnswer.verdict_;
+  });
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_CHECK(*verdict == Verdict::kRefused);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
--- /dev/null
+++ b/tests/unit/FakeWorkers.cpp
@@ -0,0 +1,233 @@
+#include "tests/unit/FakeWorkers.h"
+
+#include <QtCore/QTimer>
+
+namespace quetzal::test {
+namespace {
+
+/** Time in which an unanswered call is given up. */
+constexpr std::chrono::milliseconds kSilence{ 60 };
+
+class FakePort
+  : public QObject
+  , public workers::WorkerPort
+{
+public:
+  explicit FakePort(FakeWorker& aWorker)
+    : worker_(aWorker)
+  {
+  }
+
+  void Start(const workers::StartOrder& aOrder,
+             std::function<void(const workers::OrderReply&)> aDone) override
+  {
+    OrderFate fate = OrderFate::kAnswered;
+    if (!worker_.startFates_.empty()) {
+      fate = worker_.startFates_.front();
+      worker_.startFates_.pop_front();
+    }
+    if (!worker_.reachable_) {
+      fate = OrderFate::kLost;
+    }
+    switch (fate) {
+      case OrderFate::kAnswered:
+        Answer(worker_.Start(aOrder), std::move(aDone));
+        return;
+      case OrderFate::kDoneUnanswered:
+        worker_.Start(aOrder);
+        break;
+      case OrderFate::kLate:
+        worker_.late_.push_back(aOrder);
+        break;
+      case OrderFate::kLost:
+        break;
+    }
+    QTimer::singleShot(kSilence, this, [aDone] { aDone({}); });
+  }
+
+  void Stop(const jobs::TaskId& aTask,
+            std::int64_t aRun,
+            std::int64_t aFence,
+            std::function<void(const workers::OrderReply&)> aDone) override
+  {
+    if (!worker_.reachable_) {
+      QTimer::singleShot(kSilence, this, [aDone] { aDone({}); });
+      return;
+    }
+    Answer(worker_.Stop(aTask, aRun, aFence), std::move(aDone));
+  }
+
+  void Hold(const workers::HoldOrder& aOrder,
+            std::function<void(const workers::Look&)> aDone) override
+  {
+    if (!worker_.reachable_) {
+      QTimer::singleShot(kSilence, this, [aDone] { aDone({}); });
+      return;
+    }
+    const workers::Look look = worker_.Hold(aOrder);
+    QTimer::singleShot(0, this, [aDone, look] { aDone(look); });
+  }
+
+  void Pace(const jobs::TaskId& /*aTask*/,
+            std::int64_t /*aRun*/,
+            int /*aPercent*/,
+            std::int64_t /*aFence*/,
+            std::function<void(const workers::OrderReply&)> aDone) override
+  {
+    Answer({ workers::OrderStatus::kAccepted, FakeWorker::ClockMs() }, std::move(aDone));
+  }
+
+private:
+  void Answer(const workers::OrderReply& aReply,
+              std::function<void(const workers::OrderReply&)> aDone)
+  {
+    QTimer::singleShot(0, this, [aDone, aReply] { aDone(aReply); });
+  }
+
+  FakeWorker& worker_;
+};
+
+} // namespace
+
+std::int64_t
+FakeWorker::ClockMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::steady_clock::now().time_since_epoch())
+    .count();
+}
+
+workers::OrderReply
+FakeWorker::Start(const workers::StartOrder& aOrder)
+{
+  const std::int64_t clock = ClockMs();
+  if (aOrder.fence_ < fence_) {
+    return { workers::OrderStatus::kFenced, clock };
+  }
+  fence_ = aOrder.fence_;
+  if (aOrder.deadlineMs_ < clock) {
+    return { workers::OrderStatus::kLate, clock };
+  }
+  const auto bar = barred_.find(aOrder.task_);
+  if (bar != barred_.end() && aOrder.run_ <= bar->second) {
+    return { workers::OrderStatus::kSuperseded, clock };
+  }
+  if (running_.emplace(aOrder.task_, Run{ aOrder.run_, aOrder.deadlineMs_ }).second) {
+    starts_.emplace_back(aOrder.task_, aOrder.run_);
+  }
+  return { workers::OrderStatus::kAccepted, clock };
+}
+
+workers::OrderReply
+FakeWorker::Stop(const jobs::TaskId& aTask, std::int64_t aRun, std::int64_t aFence)
+{
+  if (aFence < fence_) {
+    return { workers::OrderStatus::kFenced, ClockMs() };
+  }
+  fence_ = aFence;
+  barred_[aTask] = std::max(barred_[aTask], aRun);
+  const auto row = running_.find(aTask);
+  if (row != running_.end() && row->second.run_ == aRun) {
+    End(aTask, jobs::EndKind::kStopped);
+  }
+  return { workers::OrderStatus::kAccepted, ClockMs() };
+}
+
+workers::Look
+FakeWorker::Hold(const workers::HoldOrder& aOrder)
+{
+  workers::Look look;
+  look.clockMs_ = ClockMs();
+  look.bornMs_ = bornMs_;
+  if (aOrder.fence_ < fence_) {
+    look.status_ = workers::OrderStatus::kFenced;
+    return look;
+  }
+  fence_ = aOrder.fence_;
+  forgotten_ = std::max(forgotten_, aOrder.forgetUpTo_);
+  std::erase_if(ended_, [this](const auto& aEnd) { return aEnd.number_ <= forgotten_; });
+  look.status_ = workers::OrderStatus::kAccepted;
+  for (auto& [task, run] : running_) {
+    run.leaseEndMs_ = std::max(run.leaseEndMs_, aOrder.deadlineMs_.value_or(0));
+    look.running_.push_back({ task, run.run_, {}, 100, 0 });
+  }
+  look.ended_ = ended_;
+  return look;
+}
+
+void
+FakeWorker::End(const jobs::TaskId& aTask, jobs::EndKind aKind, const std::string& aCheckpoint)
+{
+  const auto row = running_.extract(aTask);
+  if (!row.empty()) {
+    barred_[aTask] = std::max(barred_[aTask], row.mapped().run_);
+    ended_.push_back({ nextEnd_++, aTask, row.mapped().run_, aKind, aCheckpoint });
+  }
+}
+
+void
+FakeWorker::Reboot()
+{
+  ++bornMs_;
+  fence_ = 0;
+  running_.clear();
+  ended_.clear();
+  nextEnd_ = 1;
+  forgotten_ = 0;
+  barred_.clear();
+}
+
+void
+FakeWorker::RunLate()
+{
+  std::vector<workers::StartOrder> late;
+  late.swap(late_);
+  for (const workers::StartOrder& order : late) {
+    Start(order);
+  }
+}
+
+FakeWorker&
+FakeFleet::Add(const std::string& aId)
+{
+  return *(workers_[aId] = std::make_unique<FakeWorker>(aId));
+}
+
+workers::WorkerPortFactory
+FakeFleet::Factory()
+{
+  return [this](const std::string& aId, const settings::Endpoint& /*aEndpoint*/) {
+    return std::make_unique<FakePort>(*workers_.at(aId));
+  };
+}
+
+int
+FakeFleet::RunsOf(const jobs::TaskId& aTask) const
+{
+  int runs = 0;
+  for (const auto& [id, worker] : workers_) {
+    runs += worker->running_.contains(aTask) ? 1 : 0;
+  }
+  return runs;
+}
+
+void
+FakeFeed::Register(const std::string& aId, const std::string& aService, std::int64_t aCpu)
+{
+  workers::Registration& registration = registrations_[aId];
+  registration.id_ = aId;
+  registration.service_ = aService;
+  registration.endpoint_ = { "127.0.0.1", 80 };
+  registration.capacity_ = { aCpu, 64'000, 0 };
+  registration.labels_ = { "kind", "r1" };
+  Q_EMIT WorkersChanged();
+}
+
+void
+FakeFeed::Unregister(const std::string& aId)
+{
+  registrations_.erase(aId);
+  Q_EMIT WorkersChanged();
+}
+
+} // namespace quetzal::test
