--- a/include/quetzal/jobs/Records.h
+++ b/include/quetzal/jobs/Records.h
@@ -118,8 +118,9 @@
   int port_ = 0;
   std::string availabilityZone_;
   bool stopping_ = false;
+  double processorShare_ = 1; ///< Cores that its process may use.
 
-  MSGPACK_DEFINE_ARRAY(address_, port_, availabilityZone_, stopping_)
+  MSGPACK_DEFINE_ARRAY(address_, port_, availabilityZone_, stopping_, processorShare_)
 };
 
 /** Returns a record's bytes. */
--- a/include/quetzal/node/CellClaim.h
+++ b/include/quetzal/node/CellClaim.h
@@ -50,8 +50,8 @@
   ClaimedCell claimed_;
 };
 
-/** Returns the rank of a host among those that should take a cell: those that own the fewest cells
- * first, 0 for the one that should. */
+/** Returns the rank of a host among those that should take a cell, 0 for the one that should: first
+ * those that would own the fewest cells for each core they may use. */
 std::size_t
 ClaimRank(const std::string& aHost,
           const std::string& aCell,
--- a/src/node/CellClaim.cpp
+++ b/src/node/CellClaim.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr clock::Milliseconds kReadPause{ 100 };
+/** Least cores that a host is taken to have. */
+constexpr double kLeastShare = 0.01;
 /** Failed reads after which another host may try. */
 constexpr int kMostAttempts = 30;
 
@@ -145,13 +147,14 @@
     names.push_back(name);
   }
   std::vector<std::string> ranked = membership::OwnersOf(aCell, names, names.size());
-  std::stable_sort(
-    ranked.begin(), ranked.end(), [&](const std::string& aLeft, const std::string& aRight) {
-      const auto left = aCellCounts.find(aLeft);
-      const auto right = aCellCounts.find(aRight);
-      return (left == aCellCounts.end() ? 0 : left->second) <
-             (right == aCellCounts.end() ? 0 : right->second);
-    });
+  const auto loadOf = [&](const std::string& aName) {
+    const auto count = aCellCounts.find(aName);
+    const int cells = 1 + (count == aCellCounts.end() ? 0 : count->second);
+    return cells / std::max(aHosts.at(aName).processorShare_, kLeastShare);
+  };
+  std::stable_sort(ranked.begin(), ranked.end(), [&](const auto& aLeft, const auto& aRight) {
+    return loadOf(aLeft) < loadOf(aRight);
+  });
   const auto place = std::find(ranked.begin(), ranked.end(), aHost);
   return static_cast<std::size_t>(place - ranked.begin());
 }
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -66,7 +66,8 @@
                 { aSettings.peers_.address_,
                   aSettings.peers_.port_,
                   aSettings.availabilityZone_,
-                  false },
+                  false,
+                  aSettings.processorShare_ },
                 nullptr)
   , links_(nullptr)
   , startedAt_(Now())
--- a/tests/unit/CellWriterTest.cpp
+++ b/tests/unit/CellWriterTest.cpp
@@ -280,6 +280,15 @@
   BOOST_TEST(node::ClaimRank("c", "x", hosts, counts) == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(Rank_HostWithMoreProcessor_TakesMoreCells)
+{
+  std::map<std::string, jobs::HostRecord> hosts{ { "big", {} }, { "small", {} } };
+  hosts["big"].processorShare_ = 0.5;
+  hosts["small"].processorShare_ = 0.12;
+  BOOST_TEST(node::ClaimRank("big", "x", hosts, { { "big", 3 } }) == 0U);
+  BOOST_TEST(node::ClaimRank("big", "x", hosts, { { "big", 4 } }) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
