Count lasting tasks by memory too, draw hosts for tasks that find no room, vacate only where there is room

Tests: Shares_LastingTasksFillMemory_*, Pool_HasTasksThatFindNoRoom_*, Vacate_SeveralTasksOfOneStep_*.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -78,6 +78,8 @@
 {
   std::string service_;
   double lastingCores_ = 0;  ///< Asked for by tasks that last.
+  double lastingMemory_ = 0; ///< Asked for by tasks that last, in megabytes.
+  int stuckTasks_ = 0;       ///< Tasks that last, or are to be vacated, for which no worker has room.
   double urgentCores_ = 0;   ///< Needed for waiting and running jobs to be done in time.
   double forecastCores_ = 0; ///< That arriving jobs will need when a host drawn now has come.
   std::vector<WorkerReport> workers_;
@@ -196,6 +198,8 @@
   int MostAttempts(const jobs::Job& aJob) const;
   bool IsAtWork(const jobs::TaskState& aState, const jobs::TaskId& aTask) const;
   bool MayTakeAway(const jobs::Job& aJob, const jobs::TaskId& aTask) const;
+  bool HasRoomFor(const jobs::StepSpec& aStep) const;
+  int CountStuck() const;
 
   std::string service_;
   CellContext context_;
@@ -215,6 +219,7 @@
   };
   std::map<std::string, TicketRow> advice_; ///< By step.
   std::set<std::string> closed_;
+  int stuckVacates_ = 0; ///< Tasks that the last orders could not vacate for want of room.
   std::deque<fleet::Arrival> arrivals_;
   double estimateBias_ = 1; ///< How long tasks take, as a multiple of their estimates.
   clock::Moment begun_;
--- a/include/quetzal/fleet/MachinePort.h
+++ b/include/quetzal/fleet/MachinePort.h
@@ -24,7 +24,8 @@
   std::string worker_; ///< The id of the worker that is its present life.
   std::string availabilityZone_;
   std::vector<std::string> labels_;
-  std::int64_t cpu_ = 0; ///< Thousandths of a core.
+  std::int64_t cpu_ = 0;    ///< Thousandths of a core.
+  std::int64_t memory_ = 0; ///< Megabytes.
 
   auto operator<=>(const Machine&) const = default;
 };
--- a/include/quetzal/fleet/Planner.h
+++ b/include/quetzal/fleet/Planner.h
@@ -24,6 +24,8 @@
 struct PoolDemand
 {
   double lastingCores_ = 0; ///< Asked for by tasks that last.
+  double lastingMemory_ = 0; ///< Asked for by tasks that last, in megabytes.
+  int stuckTasks_ = 0;       ///< Tasks that last and find no room.
   double urgentCores_ = 0;   ///< Needed beyond those for jobs to be done in time.
   double forecastCores_ = 0; ///< Needed beyond the lasting ones when a host drawn now has come.
   bool fresh_ = false;      ///< The report is recent enough to act on.
@@ -72,6 +74,8 @@
   double margin_ = 1.15;  ///< Cores planned for each core needed.
   int keptHosts_ = 3;     ///< Hosts beyond the lasting tasks' that stay in every pool.
   int slackHosts_ = 1;    ///< Hosts beyond the need that are not returned.
+  double memoryFill_ = 0.7; ///< Part of a host's memory that lasting tasks can be packed into.
+  int mostStuckHosts_ = 4;  ///< Hosts drawn at once for tasks that find no room.
   int leastLack_ = 2;     ///< Hosts lacking for which hosts at work are closed in other pools.
   bool mayPark_ = true;          ///< Hosts may be returned to the standby pool.
 };
@@ -102,6 +106,13 @@
   std::map<std::string, double> targets_; ///< Hosts wanted in each pool.
 };
 
+/** What a host of the fleet has on average. */
+struct HostSize
+{
+  double cores_ = 1;
+  double memory_ = 1; ///< Megabytes.
+};
+
 /** Shares hosts among pools: first what lasting tasks need, then what is urgent, then what is
  * forecast and kept in reserve. Where hosts do not suffice for one of these, every pool gets the same
  * part of it. Answers two queues that rise together, and the tail of one beside the rise of the next.
@@ -109,7 +120,7 @@
 std::map<std::string, double>
 ShareHosts(const std::map<std::string, PoolDemand>& aPools,
            double aHosts,
-           double aCoresPerHost,
+           const HostSize& aHost,
            const PlannerOptions& aOptions);
 
 /** Plans moves and maintenance: hosts are drawn to where work arrives, returned when the work has
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -41,6 +41,8 @@
 constexpr double kSuspicionDecay = 0.985; ///< For each housekeeping round.
 constexpr double kSuspicious = 0.65;
 constexpr std::size_t kMostExpiredAtOnce = 30;
+/** A lasting task that has waited for this long finds no room. */
+constexpr clock::Milliseconds kStuckTime{ 400 };
 /** Progress, in per cent, at which a lasting task is at work. */
 constexpr int kAtWork = 100;
 
@@ -1030,6 +1032,9 @@
     const jobs::Remainder rest = jobs::RemainderOf(job);
     if (job.lasting_) {
       report.lastingCores_ += rest.widestCores_;
+      for (const jobs::StepSpec& step : job.spec_.steps_) {
+        report.lastingMemory_ += static_cast<double>(step.memory_) * step.count_;
+      }
       continue;
     }
     longest = std::max(longest, job.chain_);
@@ -1037,6 +1042,7 @@
     report.urgentCores_ += fleet::UrgentCores(
       { rest.work_ * estimateBias_, rest.widestCores_, jobs::ObjectiveOf(job, queue) }, now);
   }
+  report.stuckTasks_ = CountStuck() + stuckVacates_;
   const auto window = std::clamp(longest / 2, kLeastWindow, kMostWindow);
   report.forecastCores_ =
     estimateBias_ * fleet::ForecastCores(arrivals_, now, window, kForecastAhead);
@@ -1051,9 +1057,33 @@
   return report;
 }
 
+int
+Cell::CountStuck() const
+{
+  const clock::Moment now = Now();
+  int stuck = 0;
+  for (const auto& [id, job] : jobs_) {
+    if (job.lasting_ && job.stored_ && now - job.arrived_ > kStuckTime) {
+      stuck += job.waiting_;
+    }
+  }
+  return stuck;
+}
+
+bool
+Cell::HasRoomFor(const jobs::StepSpec& aStep) const
+{
+  std::vector<Row*> rows;
+  const std::vector<placement::Candidate> candidates = Candidates(rows);
+  placement::StepUse use;
+  use.tasksOn_.assign(candidates.size(), 0);
+  return placement::ChooseWorker(aStep, candidates, use).has_value();
+}
+
 void
 Cell::CloseWorkers(const std::set<std::string>& aWorkers)
 {
+  stuckVacates_ = 0;
   closed_ = aWorkers;
   for (auto& [id, row] : workers_) {
     row.worker_->SetClosed(closed_.contains(id));
@@ -1105,7 +1135,9 @@
       continue;
     }
     jobs::TaskState* state = jobs::FindTask(job->second, task);
-    if (state != nullptr && MayTakeAway(job->second, task)) {
+    if (!HasRoomFor(job->second.spec_.steps_.at(static_cast<std::size_t>(task.step_)))) {
+      ++stuckVacates_;
+    } else if (state != nullptr && MayTakeAway(job->second, task)) {
       state->leaving_ = true;
       toStop.push_back(task);
     }
--- a/src/fleet/Planner.cpp
+++ b/src/fleet/Planner.cpp
@@ -43,14 +43,16 @@
   return load != nullptr && aView.pools_.at(aMachine.pool_).fresh_ && load->released_;
 }
 
-double
-CoresPerHost(const FleetView& aView)
+HostSize
+SizeOfHosts(const FleetView& aView)
 {
-  double cores = 0;
+  HostSize size{ 0, 0 };
   for (const Machine& machine : aView.machines_) {
-    cores += static_cast<double>(machine.cpu_) / 1'000;
+    size.cores_ += static_cast<double>(machine.cpu_) / 1'000;
+    size.memory_ += static_cast<double>(machine.memory_);
   }
-  return aView.machines_.empty() ? 1 : std::max(cores / static_cast<double>(aView.machines_.size()), 1.0);
+  const double hosts = std::max(static_cast<double>(aView.machines_.size()), 1.0);
+  return { std::max(size.cores_ / hosts, 1.0), std::max(size.memory_ / hosts, 1.0) };
 }
 
 bool
@@ -91,12 +93,13 @@
   return sources;
 }
 
+/** Counts a pool's hosts. @param aOpenOnly not those that are still to come. */
 int
-HostsIn(const FleetView& aView, const std::string& aPool)
+HostsIn(const FleetView& aView, const std::string& aPool, bool aOpenOnly = false)
 {
   return static_cast<int>(std::count_if(
-    aView.machines_.begin(), aView.machines_.end(), [&aPool](const Machine& aMachine) {
-      return IsInPool(aMachine, aPool);
+    aView.machines_.begin(), aView.machines_.end(), [&](const Machine& aMachine) {
+      return IsInPool(aMachine, aPool) && (!aOpenOnly || aMachine.state_ == MachineState::kUp);
     }));
 }
 
@@ -244,7 +247,7 @@
 std::map<std::string, double>
 ShareHosts(const std::map<std::string, PoolDemand>& aPools,
            double aHosts,
-           double aCoresPerHost,
+           const HostSize& aHost,
            const PlannerOptions& aOptions)
 {
   std::map<std::string, double> shares;
@@ -263,13 +266,14 @@
     left = std::max(left, 0.0);
   };
   const auto lastingHosts = [&](const PoolDemand& aDemand) {
-    return aDemand.lastingCores_ / aCoresPerHost;
+    return std::max(aDemand.lastingCores_ / aHost.cores_,
+                    aDemand.lastingMemory_ / (aHost.memory_ * aOptions.memoryFill_));
   };
   const auto urgentHosts = [&](const PoolDemand& aDemand) {
-    return lastingHosts(aDemand) + aDemand.urgentCores_ * aOptions.margin_ / aCoresPerHost;
+    return lastingHosts(aDemand) + aDemand.urgentCores_ * aOptions.margin_ / aHost.cores_;
   };
   const auto forecastHosts = [&](const PoolDemand& aDemand) {
-    return lastingHosts(aDemand) + std::max(aDemand.forecastCores_ * aOptions.margin_ / aCoresPerHost,
+    return lastingHosts(aDemand) + std::max(aDemand.forecastCores_ * aOptions.margin_ / aHost.cores_,
                                             static_cast<double>(aOptions.keptHosts_));
   };
   share(lastingHosts);
@@ -289,7 +293,13 @@
     for (const auto& [pool, demand] : pools) {
       hosts += HostsIn(aView, pool);
     }
-    plan.targets_ = ShareHosts(pools, hosts, CoresPerHost(aView), aOptions);
+    plan.targets_ = ShareHosts(pools, hosts, SizeOfHosts(aView), aOptions);
+    for (auto& [pool, target] : plan.targets_) {
+      const int stuck = std::min(pools.at(pool).stuckTasks_, aOptions.mostStuckHosts_);
+      if (stuck > 0) {
+        target = std::max(target, static_cast<double>(HostsIn(aView, pool, true) + stuck));
+      }
+    }
     PlanMoves(aView, aOptions, plan);
   }
   for (const WaveProgress& wave : aView.waves_) {
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -211,6 +211,8 @@
   for (const auto& [service, row] : reports_) {
     fleet::PoolDemand demand;
     demand.lastingCores_ = row.report_.lastingCores_;
+    demand.lastingMemory_ = row.report_.lastingMemory_;
+    demand.stuckTasks_ = row.report_.stuckTasks_;
     demand.urgentCores_ = row.report_.urgentCores_;
     for (const auto& [at, cores] : row.forecasts_) {
       demand.forecastCores_ = std::max(demand.forecastCores_, cores);
@@ -291,7 +293,7 @@
     if (report != reports_.end()) {
       const cells::CellReport& row = report->second.report_;
       text << " lasting=" << row.lastingCores_ << " urgent=" << row.urgentCores_
-           << " forecast=" << row.forecastCores_;
+           << " forecast=" << row.forecastCores_ << " stuck=" << row.stuckTasks_;
 
     }
   }
--- a/src/node/Messages.cpp
+++ b/src/node/Messages.cpp
@@ -62,6 +62,8 @@
   ReportCall call;
   call.service_ = aReport.service_;
   call.lastingCores_ = aReport.lastingCores_;
+  call.lastingMemory_ = aReport.lastingMemory_;
+  call.stuckTasks_ = aReport.stuckTasks_;
   call.urgentCores_ = aReport.urgentCores_;
   call.forecastCores_ = aReport.forecastCores_;
   for (const cells::WorkerReport& row : aReport.workers_) {
@@ -76,6 +78,8 @@
   cells::CellReport report;
   report.service_ = aCall.service_;
   report.lastingCores_ = aCall.lastingCores_;
+  report.lastingMemory_ = aCall.lastingMemory_;
+  report.stuckTasks_ = aCall.stuckTasks_;
   report.urgentCores_ = aCall.urgentCores_;
   report.forecastCores_ = aCall.forecastCores_;
   for (const WorkerRow& row : aCall.workers_) {
--- a/src/node/Messages.h
+++ b/src/node/Messages.h
@@ -49,11 +49,14 @@
 {
   std::string service_;
   double lastingCores_ = 0;
+  double lastingMemory_ = 0;
+  int stuckTasks_ = 0;
   double urgentCores_ = 0;
   double forecastCores_ = 0;
   std::vector<WorkerRow> workers_;
 
-  MSGPACK_DEFINE_ARRAY(service_, lastingCores_, urgentCores_, forecastCores_, workers_)
+  MSGPACK_DEFINE_ARRAY(service_, lastingCores_, lastingMemory_, stuckTasks_, urgentCores_,
+                       forecastCores_, workers_)
 };
 
 /** CellOrders between entry hosts. */
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -337,12 +337,19 @@
   BOOST_TEST(RunUntil([&] { return worker.running_.size() == 3; }));
   RunFor(100ms);
   cell->CloseWorkers({ "w1" });
+  cell->Vacate("w1");
+  RunFor(50ms);
+  BOOST_TEST(worker.running_.size() == 3U, "a task is vacated though no worker has room for it");
+  BOOST_TEST(cell->Report().stuckTasks_ > 0);
+  FakeWorker& other = AddWorker("w2");
+  RunFor(100ms);
+  other.startFates_ = { OrderFate::kLost, OrderFate::kLost, OrderFate::kLost, OrderFate::kLost };
   for (int i = 0; i < 5; ++i) {
+    cell->CloseWorkers({ "w1" });
     cell->Vacate("w1");
     RunFor(30ms);
   }
   BOOST_TEST(worker.running_.size() == 2U);
-  FakeWorker& other = AddWorker("w2");
   BOOST_TEST(RunUntil([&] { return other.running_.size() == 1; }));
 }
 
--- a/tests/unit/PlannerTest.cpp
+++ b/tests/unit/PlannerTest.cpp
@@ -63,6 +63,7 @@
 
   FleetView view_;
   PlannerOptions options_;
+  const HostSize size_{ 10, 1'000 };
   clock::Moment now_ = clock::Moment() + 1h;
 };
 
@@ -131,7 +132,7 @@
   std::map<std::string, PoolDemand> pools;
   pools["a"].urgentCores_ = 40;
   pools["b"].forecastCores_ = 100;
-  const auto shares = ShareHosts(pools, 6, 10, options_);
+  const auto shares = ShareHosts(pools, 6, size_, options_);
   BOOST_TEST(shares.at("a") >= 4.0);
   BOOST_TEST(shares.at("b") <= 2.0);
 }
@@ -141,7 +142,7 @@
   std::map<std::string, PoolDemand> pools;
   pools["a"].urgentCores_ = 40;
   pools["b"].urgentCores_ = 80;
-  const auto shares = ShareHosts(pools, 6, 10, options_);
+  const auto shares = ShareHosts(pools, 6, size_, options_);
   BOOST_TEST(shares.at("a") == 2.0, boost::test_tools::tolerance(0.01));
   BOOST_TEST(shares.at("b") == 4.0, boost::test_tools::tolerance(0.01));
 }
@@ -151,7 +152,28 @@
   std::map<std::string, PoolDemand> pools;
   pools["a"].lastingCores_ = 30;
   pools["b"].urgentCores_ = 1'000;
-  BOOST_TEST(ShareHosts(pools, 5, 10, options_).at("a") >= 3.0);
+  BOOST_TEST(ShareHosts(pools, 5, size_, options_).at("a") >= 3.0);
+}
+
+// Seen on the grown mekong-mesh, quiet-1: lasting tasks filled the memory of the hosts that their
+// processors needed, and a vacated one found no room for 11 s.
+BOOST_AUTO_TEST_CASE(Shares_LastingTasksFillMemory_CountByMemory)
+{
+  std::map<std::string, PoolDemand> pools;
+  pools["a"].lastingCores_ = 10;
+  pools["a"].lastingMemory_ = 2'100;
+  BOOST_TEST(ShareHosts(pools, 9, size_, options_).at("a") >= 3.0);
+}
+
+BOOST_AUTO_TEST_CASE(Pool_HasTasksThatFindNoRoom_DrawsHostsThoughItsCoresSuffice)
+{
+  AddHost("1", "a", 1);
+  AddHost("2", "s");
+  AddHost("3", "s");
+  view_.pools_.erase("b");
+  BOOST_TEST(Plan().moves_.empty());
+  view_.pools_["a"].stuckTasks_ = 1;
+  BOOST_TEST(Plan().moves_.size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(Wave_FreeHosts_AreOrderedUpToItsBound)
