--- a/include/quetzal/jobs/Records.h
+++ b/include/quetzal/jobs/Records.h
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/jobs/Job.h"
 
+#include <map>
 #include <msgpack.hpp>
 #include <set>
 #include <string>
@@ -111,6 +112,15 @@
   MSGPACK_DEFINE_ARRAY(owner_, address_, port_, incarnation_, sequence_, roster_)
 };
 
+/** What the fleet's owner leaves when it hands the fleet over by itself. */
+struct FleetHandOver
+{
+  std::int64_t fence_ = 0;                         ///< Of the owner that wrote this.
+  std::map<std::string, std::int64_t> orderedMs_; ///< Unix milliseconds of the last order, by host.
+
+  MSGPACK_DEFINE_ARRAY(fence_, orderedMs_)
+};
+
 /** A live entry host. */
 struct HostRecord
 {
--- a/include/quetzal/node/CellClaim.h
+++ b/include/quetzal/node/CellClaim.h
@@ -12,6 +12,7 @@
 {
   std::int64_t fence_ = 0;
   std::int64_t keyRevision_ = 0;
+  std::int64_t linkBefore_ = 0; ///< Revision of the linking key when the cell was won.
   cells::Inheritance inheritance_;
 };
 
--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -7,6 +7,7 @@
 #include <QtCore/QObject>
 #include <QtCore/QTimer>
 #include <deque>
+#include <optional>
 
 namespace quetzal::node {
 
@@ -37,6 +38,7 @@
                const Membership& aMembership,
                metrics::Registry& aMetrics,
                std::int64_t aFence,
+               std::int64_t aPredecessorFence,
                const FleetOptions& aOptions,
                QObject* aParent);
 
@@ -45,6 +47,9 @@
 
   void Stop();
 
+  /** Returns what a successor needs in order to go on at once. Call it after Stop(). */
+  jobs::FleetHandOver HandOver() const;
+
 private:
   struct ReportRow
   {
@@ -67,6 +72,8 @@
   void ShowWave(std::int64_t aWave, bool aCompleted);
   fleet::OrderAuthority Authority() const;
   bool MayOrder() const;
+  bool MayOrder(const std::string& aMachine) const;
+  void ReadHandOver(std::int64_t aPredecessorFence);
 
   fleet::MachinePort& machines_;
   store::SharedStore& store_;
@@ -89,8 +96,13 @@
   std::map<std::string, clock::Moment> orderedAt_;
   std::set<std::string> closed_;
   std::set<std::string> vacate_;
+  std::map<std::string, std::int64_t> orderMs_; ///< Unix milliseconds of this owner's last orders.
+  std::optional<jobs::FleetHandOver> handOver_; ///< From a predecessor that ended by itself.
   double orderRights_ = 0;
   clock::Moment rightsAt_{};
 };
 
+/** The store's key of the last hand-over of the fleet. */
+inline const std::string kFleetHandOverKey = "quetzal/fleet-hand-over";
+
 } // namespace quetzal::node
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -58,7 +58,7 @@
   void ClaimCells();
   void Claim(const std::string& aCell);
   void OnWon(const std::string& aCell, const ClaimedCell& aClaimed);
-  void BeginFleet(std::int64_t aFence, std::int64_t aKeyRevision);
+  void BeginFleet(const ClaimedCell& aClaimed);
   void DropCell(const std::string& aCell);
   void DropAll();
   void CheckOwners();
@@ -77,7 +77,9 @@
   void Report(const std::string& aCell);
   void ApplyOrders(const std::string& aCell, const CellOrders& aOrders);
   void HandOver();
-  void Release(const std::string& aKey, std::int64_t aRevision);
+  void Release(const std::string& aKey,
+               std::int64_t aRevision,
+               const std::vector<store::Write>& aPuts = {});
 
   NodeSettings settings_;
   Ports ports_;
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -157,7 +157,7 @@
 
   std::mt19937 random_;
   JobsDeployment jobs_;
-  int next_ = 1;
+  int next_ = 1'000; ///< Lower ids are probed for and must stay unknown.
   std::set<std::string> accepted_;
   std::set<std::string> refused_;
   std::set<std::string> silenced_;
--- a/src/log/Log.cpp
+++ b/src/log/Log.cpp
@@ -1,5 +1,6 @@
 #include "include/quetzal/log/Log.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -36,6 +37,8 @@
 
 /** Written to standard output in one second at most; further lines are dropped. */
 constexpr std::size_t kMostBytesPerSecond = 512 * 1024;
+/** Written at once; a pipe takes as much without splitting it. */
+constexpr std::size_t kPieceBytes = 4'096;
 /** Gathered at most before it is written. */
 constexpr std::size_t kBatchBytes = 16 * 1024;
 
@@ -88,7 +91,13 @@
   {
     std::size_t done = 0;
     while (done < batch_.size()) {
-      const auto count = ::write(STDOUT_FILENO, batch_.data() + done, batch_.size() - done);
+      // Whole lines in pieces that a pipe takes at once.
+      std::size_t end = std::min(done + kPieceBytes, batch_.size());
+      if (const std::size_t line = batch_.rfind('\n', end - 1);
+          line != std::string::npos && line >= done) {
+        end = line + 1;
+      }
+      const auto count = ::write(STDOUT_FILENO, batch_.data() + done, end - done);
       if (count <= 0) {
         break;
       }
--- a/src/node/CellClaim.cpp
+++ b/src/node/CellClaim.cpp
@@ -59,6 +59,7 @@
     }
     self->claimed_.inheritance_.roster_ = previous.roster_;
     self->self_.roster_ = previous.roster_;
+    self->claimed_.linkBefore_ = revision;
     self->Commit(revision);
   });
 }
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -19,6 +19,10 @@
 /** Hosts are not returned in this time after the fleet's first owner began. */
 constexpr clock::Milliseconds kNoReturns{ 8'000 };
 constexpr clock::Milliseconds kRetryPause{ 300 };
+/** How far the hosts' times of day may lie apart. */
+constexpr clock::Milliseconds kClockDifference{ 2'500 };
+/** Orders older than this mean nothing to a successor. */
+constexpr std::int64_t kHandOverMemoryMs = 20'000;
 /** After an order without an answer, the host is left alone until the list tells. */
 constexpr clock::Milliseconds kUnsureTime{ 3'000 };
 /** Share of the platform's rate of orders that is used, and the most that may be saved up. */
@@ -31,6 +35,14 @@
   return "quetzal/wave/" + std::to_string(aWave);
 }
 
+std::int64_t
+UnixMs()
+{
+  return std::chrono::duration_cast<clock::Milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 clock::Moment
 Now()
 {
@@ -45,6 +57,7 @@
                            const Membership& aMembership,
                            metrics::Registry& aMetrics,
                            std::int64_t aFence,
+                           std::int64_t aPredecessorFence,
                            const FleetOptions& aOptions,
                            QObject* aParent)
   : QObject(aParent)
@@ -60,7 +73,37 @@
 {
   connect(&timer_, &QTimer::timeout, this, &FleetManager::Tick);
   timer_.start(kInterval);
-  log::Info("fleet", "event=fleet-begun fence=", fence_);
+  log::Info("fleet", "event=fleet-begun fence=", fence_, " predecessor=", aPredecessorFence);
+  ReadHandOver(aPredecessorFence);
+}
+
+void
+FleetManager::ReadHandOver(std::int64_t aPredecessorFence)
+{
+  const QPointer<FleetManager> self(this);
+  store_.Get(kFleetHandOverKey, [self, aPredecessorFence](const store::ReadResult& aResult) {
+    jobs::FleetHandOver record;
+    if (self && aResult.status_ == store::Status::kSucceeded && !aResult.items_.empty() &&
+        jobs::Decode(aResult.items_.front().value_, record) &&
+        record.fence_ == aPredecessorFence) {
+      log::Info("fleet", "event=hand-over-read hosts=", record.orderedMs_.size());
+      self->handOver_ = record;
+    }
+  });
+}
+
+jobs::FleetHandOver
+FleetManager::HandOver() const
+{
+  jobs::FleetHandOver record{ fence_, orderMs_ };
+  const std::int64_t oldest = UnixMs() - kHandOverMemoryMs;
+  std::erase_if(record.orderedMs_, [oldest](const auto& aRow) { return aRow.second < oldest; });
+  if (handOver_) {
+    record.orderedMs_.insert(handOver_->orderedMs_.begin(), handOver_->orderedMs_.end());
+  } else if (Now() - begun_ < options_.orderGap_) {
+    record.fence_ = 0; // The predecessor's orders are not known.
+  }
+  return record;
 }
 
 void
@@ -102,7 +145,23 @@
 bool
 FleetManager::MayOrder() const
 {
-  return !stopped_ && membership_.HoldsLeaseSurely() && Now() - begun_ > options_.orderGap_;
+  const bool predecessorIsKnown = handOver_.has_value();
+  return !stopped_ && membership_.HoldsLeaseSurely() &&
+         (predecessorIsKnown || Now() - begun_ > options_.orderGap_);
+}
+
+bool
+FleetManager::MayOrder(const std::string& aMachine) const
+{
+  if (!MayOrder()) {
+    return false;
+  }
+  if (Now() - begun_ > options_.orderGap_ || !handOver_) {
+    return true;
+  }
+  const auto last = handOver_->orderedMs_.find(aMachine);
+  const auto gap = options_.orderGap_ + kClockDifference;
+  return last == handOver_->orderedMs_.end() || UnixMs() - last->second > gap.count();
 }
 
 void
@@ -310,9 +369,10 @@
 void
 FleetManager::Move(const fleet::MoveOrder& aOrder)
 {
-  if (!MayOrder()) {
+  if (!MayOrder(aOrder.machine_)) {
     return;
   }
+  orderMs_[aOrder.machine_] = UnixMs();
   busy_.insert(aOrder.machine_);
   log::Info("fleet", "event=move host=", aOrder.machine_, " pool=", aOrder.pool_);
   metrics_.Add("quetzal_moves_total", { { "pool", aOrder.pool_ } });
@@ -343,9 +403,10 @@
 void
 FleetManager::Maintain(const fleet::MaintenanceOrder& aOrder)
 {
-  if (!MayOrder()) {
+  if (!MayOrder(aOrder.machine_)) {
     return;
   }
+  orderMs_[aOrder.machine_] = UnixMs();
   fleet::WaveProgress& wave = waves_.at(aOrder.wave_);
   fleet::MaintenanceState& state = wave.machines_.at(aOrder.machine_);
   state = {};
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -13,7 +13,7 @@
 /** At a start, hosts get this long to announce themselves before cells are claimed. */
 constexpr clock::Milliseconds kSettleTime{ 700 };
 /** A host that is next in line claims a vacant cell this much later than the one before it. */
-constexpr clock::Milliseconds kRankDelay{ 600 };
+constexpr clock::Milliseconds kRankDelay{ 150 };
 /** How long a handed-over cell may take to write what it has left. */
 constexpr clock::Milliseconds kHandOverTime{ 900 };
 constexpr clock::Milliseconds kReportTime{ 700 };
@@ -132,8 +132,9 @@
 NodeProcess::ClaimCells()
 {
   const clock::Moment now = Now();
+  const bool othersServe = !membership_.CellCounts().empty();
   if (stopping_ || !ports_.feed_->HasConfiguration() || !membership_.IsKnown() ||
-      !membership_.HoldsLeaseSurely() || now - startedAt_ < kSettleTime) {
+      !membership_.HoldsLeaseSurely() || (!othersServe && now - startedAt_ < kSettleTime)) {
     return;
   }
   for (const std::string& cell : WantedCells()) {
@@ -202,7 +203,7 @@
   vacantSince_.erase(aCell);
   metrics_.Add("quetzal_cells_won_total", { { "cell", aCell } });
   if (aCell == kFleetCell) {
-    BeginFleet(aClaimed.fence_, aClaimed.keyRevision_);
+    BeginFleet(aClaimed);
     return;
   }
   cells::CellContext context;
@@ -222,19 +223,20 @@
 }
 
 void
-NodeProcess::BeginFleet(std::int64_t aFence, std::int64_t aKeyRevision)
+NodeProcess::BeginFleet(const ClaimedCell& aClaimed)
 {
   FleetOptions options;
   options.orderGap_ = settings_.fleetOrderGap_ + clock::Milliseconds(200);
   options.maintenanceTime_ = settings_.maintenanceTime_;
   options.ordersPerSecond_ = settings_.machineOrdersPerSecond_;
-  fleetKeyRevision_ = aKeyRevision;
+  fleetKeyRevision_ = aClaimed.keyRevision_;
   fleet_ = new FleetManager(*ports_.machines_,
                             *ports_.store_,
                             *ports_.feed_,
                             membership_,
                             metrics_,
-                            aFence,
+                            aClaimed.fence_,
+                            aClaimed.linkBefore_,
                             options,
                             this);
 }
@@ -560,8 +562,10 @@
 {
   const bool late = Now() - stopBegun_ > kHandOverTime;
   if (fleet_ != nullptr) {
-    Release(CellKey(kFleetCell), fleetKeyRevision_);
     fleet_->Stop();
+    Release(CellKey(kFleetCell),
+            fleetKeyRevision_,
+            { { kFleetHandOverKey, jobs::Encode(fleet_->HandOver()), 0 } });
     fleet_->deleteLater();
     fleet_ = nullptr;
   }
@@ -582,9 +586,12 @@
 }
 
 void
-NodeProcess::Release(const std::string& aKey, std::int64_t aRevision)
+NodeProcess::Release(const std::string& aKey,
+                     std::int64_t aRevision,
+                     const std::vector<store::Write>& aPuts)
 {
   store::Change change;
+  change.puts_ = aPuts;
   change.expected_.push_back({ aKey, aRevision });
   change.removes_.push_back(aKey);
   ports_.store_->Commit(change, [aKey](const store::CommitResult& aResult) {
