--- a/include/quetzal/cells/CellWriter.h
+++ b/include/quetzal/cells/CellWriter.h
@@ -61,6 +61,9 @@
   /** Writes nothing any more; whoever waits learns that the outcome is not known. */
   void Abandon();
 
+  /** Returns the writes that wait for the change in hand. */
+  std::size_t Backlog() const { return pending_.size(); }
+
   bool IsIdle() const { return pending_.empty() && !inFlight_; }
 
   /** Tells whether the store refuses changes, or has not answered the one in hand for a while. */
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -11,7 +11,9 @@
 namespace {
 
 constexpr clock::Milliseconds kAcceptDelay{ 12 };
-constexpr clock::Milliseconds kProgressDelay{ 40 };
+constexpr clock::Milliseconds kProgressDelay{ 80 };
+/** Writes that wait while progress is still handed to the writer. */
+constexpr std::size_t kMostBacklog = 10;
 constexpr clock::Milliseconds kEndDelay{ 12 };
 constexpr clock::Milliseconds kPlaceDelay{ 8 };
 constexpr clock::Milliseconds kHouseInterval{ 200 };
@@ -641,6 +643,11 @@
 void
 Cell::FlushProgress()
 {
+  if (writer_.Backlog() > kMostBacklog) {
+    // The store is slow: callers' jobs and their ends go first, and progress is gathered meanwhile.
+    progressTimer_.start(kProgressDelay);
+    return;
+  }
   std::map<std::string, std::vector<std::function<void()>>> waiters;
   waiters.swap(progressWaiters_);
   for (auto& [id, done] : waiters) {
