--- a/include/quetzal/store/PrefixWatch.h
+++ b/include/quetzal/store/PrefixWatch.h
@@ -15,8 +15,13 @@
   Q_OBJECT
 
 public:
-  /** @param aWait how long one call waits for changes. */
-  PrefixWatch(SharedStore& aStore, std::string aPrefix, clock::Milliseconds aWait, QObject* aParent);
+  /** @param aWait how long one call waits for changes; @param aPause how long changes are gathered
+   * before the next call. */
+  PrefixWatch(SharedStore& aStore,
+              std::string aPrefix,
+              clock::Milliseconds aWait,
+              clock::Milliseconds aPause,
+              QObject* aParent);
 
   void Start();
   void Stop();
@@ -39,11 +44,12 @@
   void OnRead(const ReadResult& aResult);
   void OnChanges(const ChangesResult& aResult);
   void Apply(const KeyChange& aChange);
-  void Later(void (PrefixWatch::*aStep)());
+  void Later(clock::Milliseconds aPause, void (PrefixWatch::*aStep)());
 
   SharedStore& store_;
   std::string prefix_;
   clock::Milliseconds wait_;
+  clock::Milliseconds pause_;
   std::map<std::string, KeyValue> items_;
   std::int64_t revision_ = 0;
   clock::Moment lastCurrent_{};
--- a/src/node/Membership.cpp
+++ b/src/node/Membership.cpp
@@ -48,7 +48,7 @@
   , name_(std::move(aName))
   , self_(std::move(aSelf))
   , incarnation_(QUuid::createUuid().toString(QUuid::Id128).toStdString())
-  , watch_(aStore, kLivePrefix, kWatchWait, this)
+  , watch_(aStore, kLivePrefix, kWatchWait, clock::Milliseconds(0), this)
 {
   connect(&watch_, &store::PrefixWatch::Changed, this, &Membership::ReadItems);
   connect(&keepTimer_, &QTimer::timeout, this, &Membership::Keep);
--- a/src/store/PrefixWatch.cpp
+++ b/src/store/PrefixWatch.cpp
@@ -16,11 +16,13 @@
 PrefixWatch::PrefixWatch(SharedStore& aStore,
                          std::string aPrefix,
                          clock::Milliseconds aWait,
+                         clock::Milliseconds aPause,
                          QObject* aParent)
   : QObject(aParent)
   , store_(aStore)
   , prefix_(std::move(aPrefix))
   , wait_(aWait)
+  , pause_(aPause)
 {
 }
 
@@ -45,9 +47,9 @@
 }
 
 void
-PrefixWatch::Later(void (PrefixWatch::*aStep)())
+PrefixWatch::Later(clock::Milliseconds aPause, void (PrefixWatch::*aStep)())
 {
-  QTimer::singleShot(kRetryPause, this, [this, aStep, generation = generation_] {
+  QTimer::singleShot(aPause, this, [this, aStep, generation = generation_] {
     if (generation == generation_) {
       (this->*aStep)();
     }
@@ -69,7 +71,7 @@
 PrefixWatch::OnRead(const ReadResult& aResult)
 {
   if (aResult.status_ != Status::kSucceeded) {
-    Later(&PrefixWatch::Read);
+    Later(kRetryPause, &PrefixWatch::Read);
     return;
   }
   std::map<std::string, KeyValue> items;
@@ -111,7 +113,7 @@
   }
   if (aResult.status_ != Status::kSucceeded) {
     // A read finds what a watch that fell silent has missed.
-    Later(&PrefixWatch::Read);
+    Later(kRetryPause, &PrefixWatch::Read);
     return;
   }
   for (const KeyChange& change : aResult.changes_) {
@@ -119,10 +121,16 @@
   }
   revision_ = std::max(revision_, aResult.revision_);
   lastCurrent_ = std::chrono::steady_clock::now();
-  if (!aResult.changes_.empty()) {
+  const bool changed = !aResult.changes_.empty();
+  if (changed) {
     Q_EMIT Changed();
   }
-  if (running_) {
+  if (!running_) {
+    return;
+  }
+  if (changed && pause_ > clock::Milliseconds(0)) {
+    Later(pause_, &PrefixWatch::Follow);
+  } else {
     Follow();
   }
 }
--- a/tests/unit/CellWriterTest.cpp
+++ b/tests/unit/CellWriterTest.cpp
@@ -225,7 +225,7 @@
 BOOST_AUTO_TEST_CASE(Watch_HistoryIsGone_ReadsAnew)
 {
   store_.Put("p/a", "1");
-  store::PrefixWatch watch(store_, "p/", 10ms, nullptr);
+  store::PrefixWatch watch(store_, "p/", 10ms, 0ms, nullptr);
   int changes = 0;
   QObject::connect(&watch, &store::PrefixWatch::Changed, &watch, [&changes] { ++changes; });
   watch.Start();
