Do not wait for workers that are no host's present life

Ruled out: room (hosts were open), the vacate itself. The fleet's owner now says which reported workers are no life on the platform's list of hosts; a cell gives up those that do not answer. Test: Takeover_SilentWorkerIsNoHostsLife_IsNotWaitedFor.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -118,6 +118,9 @@
   /** From now on nothing is started on these workers, and on no others is starting barred. */
   void CloseWorkers(const std::set<std::string>& aWorkers);
 
+  /** These workers are no host's present life: those that do not answer run nothing any more. */
+  void MarkGone(const std::set<std::string>& aWorkers);
+
   /** Ends lasting tasks on a closed worker as far as their steps allow, so that they start
    * elsewhere. */
   void Vacate(const std::string& aWorker);
@@ -139,6 +142,7 @@
   {
     Worker* worker_ = nullptr;
     bool rosterAsked_ = false;
+    bool gone_ = false; ///< Its life is over; a successor need not ask it.
     double suspicion_ = 0;
   };
 
--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -24,6 +24,7 @@
 {
   std::set<std::string> closed_;
   std::set<std::string> vacate_;
+  std::set<std::string> gone_; ///< Workers that are no host's present life: they run nothing.
 };
 
 /** Owns moves and maintenance of hosts, as long as its process holds the fleet's cell. */
@@ -55,11 +56,13 @@
   {
     cells::CellReport report_;
     clock::Moment at_{};
+    std::map<std::string, clock::Moment> firstReported_; ///< By worker.
     std::deque<std::pair<clock::Moment, double>> forecasts_; ///< Cores, by the last reports.
   };
 
   void Tick();
-  void OnList(const fleet::MachineList& aList);
+  void OnList(const fleet::MachineList& aList, clock::Moment aAskedAt);
+  bool IsGone(const std::string& aWorker, clock::Moment aFirstReported) const;
   void SyncWaves();
   void ReadWaveRecord(std::int64_t aWave, const store::ReadResult& aResult);
   void Act();
@@ -88,6 +91,8 @@
   bool stopped_ = false;
   std::vector<fleet::Machine> list_;
   clock::Moment listAt_{};
+  clock::Moment listAskedAt_{}; ///< When the list in hand was asked for.
+  std::set<std::string> listedWorkers_; ///< Present lives of all hosts on the list.
   clock::Moment loggedAt_{};
   std::map<std::string, ReportRow> reports_;
   std::map<std::int64_t, fleet::WaveProgress> waves_;
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -301,7 +301,9 @@
   std::vector<jobs::RosterEntry> roster;
   for (const auto& [id, row] : workers_) {
     const settings::Endpoint& endpoint = row.worker_->Registration().endpoint_;
-    roster.push_back({ id, endpoint.address_, endpoint.port_ });
+    if (!row.gone_) {
+      roster.push_back({ id, endpoint.address_, endpoint.port_ });
+    }
   }
   return roster;
 }
@@ -1128,6 +1130,32 @@
   return away < std::max(aJob.spec_.steps_.at(step).mayMiss_, 1);
 }
 
+void
+Cell::MarkGone(const std::set<std::string>& aWorkers)
+{
+  bool any = false;
+  for (const std::string& id : aWorkers) {
+    const auto row = workers_.find(id);
+    if (row == workers_.end() || row->second.gone_ || row->second.worker_->IsHeard()) {
+      continue;
+    }
+    log::Info("cell",
+              "event=worker-gone cell=",
+              service_,
+              " worker=",
+              id,
+              " runs=",
+              row->second.worker_->Book().slots_.size());
+    row->second.gone_ = true;
+    row->second.worker_->GiveUp();
+    any = true;
+  }
+  if (any) {
+    writer_.SetRoster(Roster(), kRosterDelay, [] {});
+    KickPlacing();
+  }
+}
+
 void
 Cell::Vacate(const std::string& aWorker)
 {
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -16,6 +16,8 @@
 constexpr clock::Milliseconds kReportAge{ 600 };
 /** A list older than this is not acted on. */
 constexpr clock::Milliseconds kListAge{ 800 };
+/** A worker that was reported this long before the list was asked for must be on it. */
+constexpr clock::Milliseconds kListLag{ 700 };
 /** Hosts are not returned in this time after the fleet's first owner began. */
 constexpr clock::Milliseconds kNoReturns{ 8'000 };
 constexpr clock::Milliseconds kRetryPause{ 300 };
@@ -125,7 +127,13 @@
     row.forecasts_.pop_front();
   }
   CellOrders orders;
+  std::map<std::string, clock::Moment> firstReported;
   for (const cells::WorkerReport& worker : aReport.workers_) {
+    const auto known = row.firstReported_.find(worker.id_);
+    firstReported[worker.id_] = known == row.firstReported_.end() ? now : known->second;
+    if (IsGone(worker.id_, firstReported[worker.id_])) {
+      orders.gone_.insert(worker.id_);
+    }
     if (closed_.contains(worker.id_)) {
       orders.closed_.insert(worker.id_);
     }
@@ -133,9 +141,17 @@
       orders.vacate_.insert(worker.id_);
     }
   }
+  row.firstReported_ = std::move(firstReported);
   return orders;
 }
 
+bool
+FleetManager::IsGone(const std::string& aWorker, clock::Moment aFirstReported) const
+{
+  // A worker may be younger than the list.
+  return listAskedAt_ > aFirstReported + kListLag && !listedWorkers_.contains(aWorker);
+}
+
 fleet::OrderAuthority
 FleetManager::Authority() const
 {
@@ -172,22 +188,27 @@
   }
   listing_ = true;
   const QPointer<FleetManager> self(this);
-  machines_.List([self](const fleet::MachineList& aList) {
+  machines_.List([self, askedAt = Now()](const fleet::MachineList& aList) {
     if (self) {
       self->listing_ = false;
-      self->OnList(aList);
+      self->OnList(aList, askedAt);
     }
   });
 }
 
 void
-FleetManager::OnList(const fleet::MachineList& aList)
+FleetManager::OnList(const fleet::MachineList& aList, clock::Moment aAskedAt)
 {
   if (!aList.complete_) {
     return;
   }
   list_ = aList.machines_;
   listAt_ = Now();
+  listAskedAt_ = aAskedAt;
+  listedWorkers_.clear();
+  for (const fleet::Machine& machine : list_) {
+    listedWorkers_.insert(machine.worker_);
+  }
   SyncWaves();
   for (auto& [number, wave] : waves_) {
     const bool before = wave.completed_;
--- a/src/node/Messages.h
+++ b/src/node/Messages.h
@@ -65,8 +65,9 @@
   bool owned_ = false; ///< Whether the host that answers owns the fleet.
   std::set<std::string> closed_;
   std::set<std::string> vacate_;
+  std::set<std::string> gone_;
 
-  MSGPACK_DEFINE_ARRAY(owned_, closed_, vacate_)
+  MSGPACK_DEFINE_ARRAY(owned_, closed_, vacate_, gone_)
 };
 
 JobCall
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -473,7 +473,7 @@
     ReportReply reply;
     if (fleet_ != nullptr && jobs::Decode(aBody, call)) {
       const CellOrders orders = fleet_->OnReport(FromCall(call));
-      reply = { true, orders.closed_, orders.vacate_ };
+      reply = { true, orders.closed_, orders.vacate_, orders.gone_ };
     }
     aReply(jobs::Encode(reply));
     return;
@@ -524,7 +524,7 @@
                 ReportReply reply;
                 if (aResult.failure_ == CallFailure::kNone &&
                     jobs::Decode(aResult.body_, reply) && reply.owned_) {
-                  ApplyOrders(aCell, { reply.closed_, reply.vacate_ });
+                  ApplyOrders(aCell, { reply.closed_, reply.vacate_, reply.gone_ });
                 }
               });
 }
@@ -533,6 +533,7 @@
 NodeProcess::ApplyOrders(const std::string& aCell, const CellOrders& aOrders)
 {
   cells::Cell& cell = *cells_.at(aCell).cell_;
+  cell.MarkGone(aOrders.gone_);
   cell.CloseWorkers(aOrders.closed_);
   for (const std::string& worker : aOrders.vacate_) {
     cell.Vacate(worker);
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -246,6 +246,27 @@
   BOOST_TEST(timer.elapsed() >= (kTenureGrace + 2s).count());
 }
 
+// Seen on smilga-riga, hunt-39ba-7: hosts that had just been moved away were still registered and in
+// the roster; a successor waited for them while a vacated lasting task stood still.
+BOOST_AUTO_TEST_CASE(Takeover_SilentWorkerIsNoHostsLife_IsNotWaitedFor)
+{
+  times_.lease_ = 5s;
+  FakeWorker& moved = AddWorker("w1");
+  FakeWorker& other = AddWorker("w2");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(1, true));
+  BOOST_TEST(RunUntil([&] { return fleet_.RunsOf(first_) == 1; }));
+  cell->Abandon();
+  moved.Reboot();
+  moved.reachable_ = false;
+  other.Reboot();
+  cell = TakeOver("b");
+  RunFor(300ms);
+  BOOST_TEST(fleet_.RunsOf(first_) == 0);
+  cell->MarkGone({ "w1", "w2" });
+  BOOST_TEST(WaitForRun(other, first_));
+}
+
 BOOST_AUTO_TEST_CASE(Start_Unanswered_IsBarredBeforeTheTaskGoesElsewhere)
 {
   FakeWorker& worker = AddWorker("w1");
