--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -18,9 +18,9 @@
 /** What a cell says to a caller's request. */
 enum class Verdict : std::uint8_t
 {
-  kAccepted,   ///< The job is stored and will run.
-  kRefused,    ///< The job is not stored and will never run.
-  kShown,      ///< The state is given.
+  kAccepted, ///< The job is stored and will run.
+  kRefused,  ///< The job is not stored and will never run.
+  kShown,    ///< The state is given.
   kCancelled,
   kUnknownJob, ///< There is no such job.
   kUndecided,  ///< It may have been stored, or may be yet.
@@ -79,8 +79,8 @@
   std::string service_;
   double lastingCores_ = 0;  ///< Asked for by tasks that last.
   double lastingMemory_ = 0; ///< Asked for by tasks that last, in megabytes.
-  int stuckTasks_ = 0;       ///< Tasks that last, or are to be vacated, for which no worker has room.
-  double urgentCores_ = 0;   ///< Needed for waiting and running jobs to be done in time.
+  int stuckTasks_ = 0;     ///< Tasks that last, or are to be vacated, for which no worker has room.
+  double urgentCores_ = 0; ///< Needed for waiting and running jobs to be done in time.
   double forecastCores_ = 0; ///< That arriving jobs will need when a host drawn now has come.
   std::vector<WorkerReport> workers_;
 };
--- a/include/quetzal/cells/CellWriter.h
+++ b/include/quetzal/cells/CellWriter.h
@@ -31,7 +31,8 @@
   std::string mustBeAbsent_; ///< A key that must not exist; empty: no condition.
   std::vector<store::Write> puts_;
   std::vector<std::string> removes_;
-  bool mayBeRefused_ = false; ///< Given up where the store refuses; otherwise tried until it is stored.
+  bool mayBeRefused_ =
+    false; ///< Given up where the store refuses; otherwise tried until it is stored.
   std::function<void(const WriteResult&)> done_;
 };
 
@@ -56,7 +57,7 @@
   /** Replaces the workers that a successor must ask; in force once the callback comes. */
   void SetRoster(std::vector<jobs::RosterEntry> aRoster,
                  clock::Milliseconds aDelay,
-                 std::function<void()> aDone);
+                 const std::function<void()>& aDone);
 
   /** Writes nothing any more; whoever waits learns that the outcome is not known. */
   void Abandon();
--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -11,7 +11,7 @@
 /** Bounds on leases and orders. */
 struct LeaseTimes
 {
-  clock::Milliseconds lease_{ 5'000 };  ///< Given to everything on a worker at each look.
+  clock::Milliseconds lease_{ 5'000 };       ///< Given to everything on a worker at each look.
   clock::Milliseconds startWindow_{ 1'000 }; ///< A start that arrives later does nothing.
 
   bool operator==(const LeaseTimes&) const = default;
--- a/include/quetzal/fleet/Planner.h
+++ b/include/quetzal/fleet/Planner.h
@@ -23,12 +23,12 @@
 /** What one pool needs. */
 struct PoolDemand
 {
-  double lastingCores_ = 0; ///< Asked for by tasks that last.
+  double lastingCores_ = 0;  ///< Asked for by tasks that last.
   double lastingMemory_ = 0; ///< Asked for by tasks that last, in megabytes.
   int stuckTasks_ = 0;       ///< Tasks that last and find no room.
   double urgentCores_ = 0;   ///< Needed beyond those for jobs to be done in time.
   double forecastCores_ = 0; ///< Needed beyond the lasting ones when a host drawn now has come.
-  bool fresh_ = false;      ///< The report is recent enough to act on.
+  bool fresh_ = false;       ///< The report is recent enough to act on.
   std::map<std::string, WorkerLoad> workers_;
 };
 
@@ -43,10 +43,10 @@
 struct MaintenanceState
 {
   MaintenancePhase phase_ = MaintenancePhase::kPending;
-  std::string workerBefore_;     ///< The life of the host that the order ended.
-  bool seenAway_ = false;        ///< The list has shown the host away since the order.
+  std::string workerBefore_; ///< The life of the host that the order ended.
+  bool seenAway_ = false;    ///< The list has shown the host away since the order.
   clock::Moment orderedAt_{};
-  bool answered_ = false;        ///< The order was accepted.
+  bool answered_ = false; ///< The order was accepted.
 };
 
 /** One wave and how far each of its hosts is. */
@@ -71,13 +71,13 @@
 /** How eagerly hosts are drawn from the standby pool and returned. */
 struct PlannerOptions
 {
-  double margin_ = 1.15;  ///< Cores planned for each core needed.
-  int keptHosts_ = 3;     ///< Hosts beyond the lasting tasks' that stay in every pool.
-  int slackHosts_ = 1;    ///< Hosts beyond the need that are not returned.
+  double margin_ = 1.15;    ///< Cores planned for each core needed.
+  int keptHosts_ = 3;       ///< Hosts beyond the lasting tasks' that stay in every pool.
+  int slackHosts_ = 1;      ///< Hosts beyond the need that are not returned.
   double memoryFill_ = 0.7; ///< Part of a host's memory that lasting tasks can be packed into.
   int mostStuckHosts_ = 4;  ///< Hosts drawn at once for tasks that find no room.
-  int leastLack_ = 2;     ///< Hosts lacking for which hosts at work are closed in other pools.
-  bool mayPark_ = true;          ///< Hosts may be returned to the standby pool.
+  int leastLack_ = 2;       ///< Hosts lacking for which hosts at work are closed in other pools.
+  bool mayPark_ = true;     ///< Hosts may be returned to the standby pool.
 };
 
 struct MoveOrder
@@ -114,8 +114,9 @@
 };
 
 /** Shares hosts among pools: first what lasting tasks need, then what is urgent, then what is
- * forecast and kept in reserve. Where hosts do not suffice for one of these, every pool gets the same
- * part of it. Answers two queues that rise together, and the tail of one beside the rise of the next.
+ * forecast and kept in reserve. Where hosts do not suffice for one of these, every pool gets the
+ * same part of it. Answers two queues that rise together, and the tail of one beside the rise of
+ * the next.
  * @return hosts by pool. */
 std::map<std::string, double>
 ShareHosts(const std::map<std::string, PoolDemand>& aPools,
--- a/include/quetzal/jobs/Configuration.h
+++ b/include/quetzal/jobs/Configuration.h
@@ -25,7 +25,7 @@
   std::string host_;   ///< Callers' Host field.
   std::string prefix_; ///< Callers' path up to the job's id.
   std::string service_;
-  int priority_ = 0; ///< 0 goes first.
+  int priority_ = 0;     ///< 0 goes first.
   int mostAttempts_ = 0; ///< Failed runs of a task after which its job has failed; 0: no limit.
   double stretch_ = 1;   ///< Objective as a multiple of the job's chain.
   std::int64_t objectiveMs_ = 0; ///< Added to the stretched chain.
@@ -38,8 +38,8 @@
 struct Service
 {
   std::string name_;
-  bool standby_ = false;         ///< Its hosts are off and cost nothing.
-  bool rejectsOverload_ = true;  ///< Its workers refuse what does not fit.
+  bool standby_ = false;        ///< Its hosts are off and cost nothing.
+  bool rejectsOverload_ = true; ///< Its workers refuse what does not fit.
 
   auto operator<=>(const Service&) const = default;
 };
--- a/include/quetzal/jobs/Job.h
+++ b/include/quetzal/jobs/Job.h
@@ -12,15 +12,15 @@
 /** What every task of a step asks of its worker, and how the step's tasks depend on others. */
 struct StepSpec
 {
-  int count_ = 0;            ///< Number of tasks.
-  std::int64_t cpu_ = 0;     ///< Thousandths of a core for each task.
-  std::int64_t memory_ = 0;  ///< Megabytes for each task.
+  int count_ = 0;           ///< Number of tasks.
+  std::int64_t cpu_ = 0;    ///< Thousandths of a core for each task.
+  std::int64_t memory_ = 0; ///< Megabytes for each task.
   std::int64_t accelerators_ = 0;
   std::int64_t estimateMs_ = 0; ///< The caller's rough estimate of a task's duration.
   std::vector<int> after_;      ///< Earlier steps that must be done first.
   bool checkpointing_ = false;
-  bool gang_ = false;        ///< Tasks run only together.
-  bool sameRack_ = false;    ///< A gang that is slow across racks.
+  bool gang_ = false;         ///< Tasks run only together.
+  bool sameRack_ = false;     ///< A gang that is slow across racks.
   std::string requiredLabel_; ///< A label the worker must have; empty: any worker.
   std::string dataRack_;      ///< The rack that holds the data; empty: none.
   int mostPerWorker_ = 0;     ///< Tasks of this step that may share a worker; 0: any number.
@@ -39,9 +39,9 @@
 {
   std::string payload_; ///< Passed to every task unchanged.
   std::vector<StepSpec> steps_;
-  int repetitions_ = 0;          ///< 0: runs once, at once.
-  std::int64_t firstMs_ = 0;     ///< Due time of the first repetition, Unix milliseconds.
-  std::int64_t intervalMs_ = 0;  ///< Time between repetitions.
+  int repetitions_ = 0;         ///< 0: runs once, at once.
+  std::int64_t firstMs_ = 0;    ///< Due time of the first repetition, Unix milliseconds.
+  std::int64_t intervalMs_ = 0; ///< Time between repetitions.
 
   auto operator<=>(const JobSpec&) const = default;
 };
--- a/include/quetzal/jobs/JobTable.h
+++ b/include/quetzal/jobs/JobTable.h
@@ -23,7 +23,7 @@
 struct TaskState
 {
   TaskPhase phase_ = TaskPhase::kWaiting;
-  std::int64_t run_ = 0; ///< The run that is placed, or was last.
+  std::int64_t run_ = 0;              ///< The run that is placed, or was last.
   std::set<std::int64_t> failedRuns_; ///< Runs that ended as failed; each counts once.
   std::string checkpoint_;
   std::string worker_;
@@ -62,10 +62,10 @@
   bool begun_ = false;     ///< A task has been placed.
   bool inherited_ = false; ///< Accepted by an earlier owner, which may have placed tasks.
   bool lasting_ = false;
-  bool stored_ = false;    ///< The store holds the job.
-  bool ending_ = false;    ///< Its end is being stored.
+  bool stored_ = false;      ///< The store holds the job.
+  bool ending_ = false;      ///< Its end is being stored.
   bool hasProgress_ = false; ///< The store holds, or may hold, a progress record.
-  int waiting_ = 0;        ///< Tasks that could be placed now, their steps allowing it.
+  int waiting_ = 0;          ///< Tasks that could be placed now, their steps allowing it.
   int placed_ = 0;
   double work_ = 0; ///< Estimated core-seconds of one repetition.
   clock::Milliseconds chain_{ 0 };
@@ -74,8 +74,8 @@
 /** What one end of a run changed. */
 struct EndEffect
 {
-  bool known_ = false;    ///< The run belongs to a task of a live repetition.
-  bool changed_ = false;  ///< Something must be stored before the end is acknowledged.
+  bool known_ = false;     ///< The run belongs to a task of a live repetition.
+  bool changed_ = false;   ///< Something must be stored before the end is acknowledged.
   bool completed_ = false; ///< Every task of every repetition is done.
   bool failed_ = false;    ///< A task has failed as often as it may.
 };
@@ -133,8 +133,8 @@
 /** What remains of a job's repetitions that are due, by the caller's estimates. */
 struct Remainder
 {
-  double work_ = 0;              ///< Core-seconds of tasks that are not done.
-  double widestCores_ = 0;       ///< Cores that it can use at once at most.
+  double work_ = 0;                ///< Core-seconds of tasks that are not done.
+  double widestCores_ = 0;         ///< Cores that it can use at once at most.
   clock::Milliseconds chain_{ 0 }; ///< Longest chain of steps that are not done.
 };
 
--- a/include/quetzal/jobs/Records.h
+++ b/include/quetzal/jobs/Records.h
@@ -17,23 +17,49 @@
   StepSpec step_;
 
   template<typename Packer>
-  void msgpack_pack(Packer& aPacker) const
+  void msgpack_pack(Packer& aPacker) const // NOLINT: the library calls it by this name.
   {
     const StepSpec& s = step_;
-    msgpack::type::make_define_array(s.count_, s.cpu_, s.memory_, s.accelerators_, s.estimateMs_,
-                                     s.after_, s.checkpointing_, s.gang_, s.sameRack_,
-                                     s.requiredLabel_, s.dataRack_, s.mostPerWorker_,
-                                     s.speculative_, s.lasting_, s.image_, s.targetMs_, s.fills_,
+    msgpack::type::make_define_array(s.count_,
+                                     s.cpu_,
+                                     s.memory_,
+                                     s.accelerators_,
+                                     s.estimateMs_,
+                                     s.after_,
+                                     s.checkpointing_,
+                                     s.gang_,
+                                     s.sameRack_,
+                                     s.requiredLabel_,
+                                     s.dataRack_,
+                                     s.mostPerWorker_,
+                                     s.speculative_,
+                                     s.lasting_,
+                                     s.image_,
+                                     s.targetMs_,
+                                     s.fills_,
                                      s.mayMiss_)
       .msgpack_pack(aPacker);
   }
-  void msgpack_unpack(const msgpack::object& aObject)
+  void msgpack_unpack(const msgpack::object& aObject) // NOLINT: likewise.
   {
     StepSpec& s = step_;
-    msgpack::type::make_define_array(s.count_, s.cpu_, s.memory_, s.accelerators_, s.estimateMs_,
-                                     s.after_, s.checkpointing_, s.gang_, s.sameRack_,
-                                     s.requiredLabel_, s.dataRack_, s.mostPerWorker_,
-                                     s.speculative_, s.lasting_, s.image_, s.targetMs_, s.fills_,
+    msgpack::type::make_define_array(s.count_,
+                                     s.cpu_,
+                                     s.memory_,
+                                     s.accelerators_,
+                                     s.estimateMs_,
+                                     s.after_,
+                                     s.checkpointing_,
+                                     s.gang_,
+                                     s.sameRack_,
+                                     s.requiredLabel_,
+                                     s.dataRack_,
+                                     s.mostPerWorker_,
+                                     s.speculative_,
+                                     s.lasting_,
+                                     s.image_,
+                                     s.targetMs_,
+                                     s.fills_,
                                      s.mayMiss_)
       .msgpack_unpack(aObject);
   }
@@ -42,9 +68,9 @@
 /** A job as accepted, or what remains of one that has ended. Kept under the job's id. */
 struct JobRecord
 {
-  std::string cell_;  ///< The cell that runs it.
-  std::string queue_; ///< The queue's name.
-  int state_ = 0;     ///< A JobState; anything final means that the other fields are empty.
+  std::string cell_;         ///< The cell that runs it.
+  std::string queue_;        ///< The queue's name.
+  int state_ = 0;            ///< A JobState; anything final means that the other fields are empty.
   std::int64_t stampMs_ = 0; ///< Unix milliseconds at which it was accepted, or ended.
   std::string payload_;
   std::vector<StepRecord> steps_;
@@ -52,7 +78,14 @@
   std::int64_t firstMs_ = 0;
   std::int64_t intervalMs_ = 0;
 
-  MSGPACK_DEFINE_ARRAY(cell_, queue_, state_, stampMs_, payload_, steps_, repetitions_, firstMs_,
+  MSGPACK_DEFINE_ARRAY(cell_,
+                       queue_,
+                       state_,
+                       stampMs_,
+                       payload_,
+                       steps_,
+                       repetitions_,
+                       firstMs_,
                        intervalMs_)
 };
 
@@ -105,7 +138,7 @@
   std::string owner_;
   std::string address_; ///< Where peers reach the owner.
   int port_ = 0;
-  std::string incarnation_; ///< Tells lives of the owner's process apart.
+  std::string incarnation_;   ///< Tells lives of the owner's process apart.
   std::int64_t sequence_ = 0; ///< Counts this owner's writes.
   std::vector<RosterEntry> roster_;
 
@@ -115,7 +148,7 @@
 /** What the fleet's owner leaves when it hands the fleet over by itself. */
 struct FleetHandOver
 {
-  std::int64_t fence_ = 0;                         ///< Of the owner that wrote this.
+  std::int64_t fence_ = 0;                        ///< Of the owner that wrote this.
   std::map<std::string, std::int64_t> orderedMs_; ///< Unix milliseconds of the last order, by host.
 
   MSGPACK_DEFINE_ARRAY(fence_, orderedMs_)
--- a/include/quetzal/log/Log.h
+++ b/include/quetzal/log/Log.h
@@ -18,8 +18,8 @@
 void
 Start(const std::string& aProcess, Level aLeast);
 
-/** Starts logging to standard output for a program under load: lines are gathered and written without
- * ever blocking, and beyond a bound for each second they are dropped and counted. */
+/** Starts logging to standard output for a program under load: lines are gathered and written
+ * without ever blocking, and beyond a bound for each second they are dropped and counted. */
 void
 StartBounded(const std::string& aProcess, Level aLeast);
 
--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -56,7 +56,7 @@
   {
     cells::CellReport report_;
     clock::Moment at_{};
-    std::map<std::string, clock::Moment> firstReported_; ///< By worker.
+    std::map<std::string, clock::Moment> firstReported_;     ///< By worker.
     std::deque<std::pair<clock::Moment, double>> forecasts_; ///< Cores, by the last reports.
   };
 
@@ -73,6 +73,7 @@
   bool TakeOrderRight();
   void StoreWave(const fleet::WaveProgress& aWave);
   void ShowWave(std::int64_t aWave, bool aCompleted);
+  void ShowWaveLater(std::int64_t aWave, bool aCompleted);
   fleet::OrderAuthority Authority() const;
   bool MayOrder() const;
   bool MayOrder(const std::string& aMachine) const;
@@ -91,7 +92,7 @@
   bool stopped_ = false;
   std::vector<fleet::Machine> list_;
   clock::Moment listAt_{};
-  clock::Moment listAskedAt_{}; ///< When the list in hand was asked for.
+  clock::Moment listAskedAt_{};         ///< When the list in hand was asked for.
   std::set<std::string> listedWorkers_; ///< Present lives of all hosts on the list.
   clock::Moment loggedAt_{};
   std::map<std::string, ReportRow> reports_;
--- a/include/quetzal/node/JobDesk.h
+++ b/include/quetzal/node/JobDesk.h
@@ -21,10 +21,10 @@
   RequestKind kind_ = RequestKind::kShow;
   std::string cell_;
   std::string queue_;
-  std::string id_;      ///< Empty with kCount.
-  jobs::JobSpec spec_;  ///< With kSubmit.
+  std::string id_;                        ///< Empty with kCount.
+  jobs::JobSpec spec_;                    ///< With kSubmit.
   clock::Milliseconds patience_{ 3'000 }; ///< How long the caller waits.
-  bool unsure_ = false; ///< An owner may have stored it, and has not said so.
+  bool unsure_ = false;                   ///< An owner may have stored it, and has not said so.
 };
 
 /** Answers callers' requests about jobs, wherever the job's cell is. */
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -68,7 +68,7 @@
   void HandleLocally(cells::Cell& aCell, const JobRequest& aRequest, cells::AnswerCallback aDone);
   void HandleAtPeer(const jobs::OwnerRecord& aOwner,
                     const JobRequest& aRequest,
-                    cells::AnswerCallback aDone);
+                    const cells::AnswerCallback& aDone);
   void AskAgain(const JobRequest& aRequest, const cells::AnswerCallback& aDone);
   void HandleFromStore(const JobRequest& aRequest, const cells::AnswerCallback& aDone, bool aFinal);
   void ServePeer(PeerMethod aMethod,
--- a/include/quetzal/placement/Placement.h
+++ b/include/quetzal/placement/Placement.h
@@ -20,7 +20,7 @@
   bool hasLasting_ = false;
   bool hasServing_ = false; ///< Runs tasks with a response time to keep.
   bool hasFilling_ = false;
-  double suspicion_ = 0;    ///< 0: sound; 1: as bad as can be.
+  double suspicion_ = 0; ///< 0: sound; 1: as bad as can be.
 };
 
 /** What a task needs beyond its step: how many of its step each candidate already runs. */
@@ -38,8 +38,8 @@
              const std::vector<Candidate>& aCandidates,
              const StepUse& aUse);
 
-/** Chooses a worker for every task of a gang at once; empty where not all fit. A gang that wants one
- * rack gets one wherever any has the room. */
+/** Chooses a worker for every task of a gang at once; empty where not all fit. A gang that wants
+ * one rack gets one wherever any has the room. */
 std::vector<std::size_t>
 ChooseGang(const jobs::StepSpec& aStep, const std::vector<Candidate>& aCandidates);
 
--- a/include/quetzal/process/StopSignals.h
+++ b/include/quetzal/process/StopSignals.h
@@ -6,7 +6,8 @@
 /** What every binary's process has in common. */
 namespace quetzal::process {
 
-/** Turns SIGTERM, SIGINT and SIGHUP into messages of the event loop. At most one of these may exist. */
+/** Turns SIGTERM, SIGINT and SIGHUP into messages of the event loop. At most one of these may
+ * exist. */
 class StopSignals : public QObject
 {
   Q_OBJECT
--- a/include/quetzal/workers/Book.h
+++ b/include/quetzal/workers/Book.h
@@ -12,8 +12,8 @@
 /** How far one run on a worker is known to be. */
 enum class SlotState : std::uint8_t
 {
-  kOrdered,  ///< The start is on its way.
-  kUnsure,   ///< The start got no answer: it may have been carried out, or may be yet.
+  kOrdered, ///< The start is on its way.
+  kUnsure,  ///< The start got no answer: it may have been carried out, or may be yet.
   kRunning,
   kStopping, ///< Still uses its room until its end is listed.
 };
@@ -30,8 +30,8 @@
   clock::Moment orderedAt_{};
   clock::Moment answeredAt_{}; ///< When the start's answer, or the lack of one, was known.
   clock::Moment barredAt_{};   ///< When the worker confirmed that the run will not start; or never.
-  int progress_ = 0; ///< Per cent, as last seen; a lasting task is at work at 100.
-  int pace_ = 100;   ///< The share of its speed at which it was last told to work, in per cent.
+  int progress_ = 0;           ///< Per cent, as last seen; a lasting task is at work at 100.
+  int pace_ = 100; ///< The share of its speed at which it was last told to work, in per cent.
   std::int64_t figure_ = 0;
 };
 
@@ -51,9 +51,9 @@
   std::map<jobs::TaskId, Slot> slots_;
   Capacity used_;
   std::optional<ClockReading> clock_;
-  std::int64_t grantedMs_ = 0; ///< Latest lease end it was told, on its own clock.
-  std::int64_t bornMs_ = 0;    ///< 0: not known yet.
-  std::int64_t processed_ = 0; ///< Ends up to this number have been handed on.
+  std::int64_t grantedMs_ = 0;        ///< Latest lease end it was told, on its own clock.
+  std::int64_t bornMs_ = 0;           ///< 0: not known yet.
+  std::int64_t processed_ = 0;        ///< Ends up to this number have been handed on.
   std::set<std::int64_t> unrecorded_; ///< Ends handed on and not yet recorded.
 };
 
--- a/include/quetzal/workers/WorkerPort.h
+++ b/include/quetzal/workers/WorkerPort.h
@@ -29,7 +29,7 @@
   settings::Endpoint endpoint_;
   std::string service_;
   std::string availabilityZone_;
-  std::string machine_; ///< The host that it is a life of; empty where it did not say.
+  std::string machine_;     ///< The host that it is a life of; empty where it did not say.
   std::int64_t bornMs_ = 0; ///< Unix milliseconds of its start; tells its lives apart.
   bool draining_ = false;
   std::int64_t remainingMs_ = 0; ///< While it drains: the time it has left at least.
@@ -42,11 +42,11 @@
 enum class OrderStatus : std::uint8_t
 {
   kAccepted,
-  kFenced,        ///< A higher fence number has been seen there.
-  kSuperseded,    ///< A run of that number or a higher one was stopped or ended there.
-  kLate,          ///< The order's deadline had passed.
+  kFenced,     ///< A higher fence number has been seen there.
+  kSuperseded, ///< A run of that number or a higher one was stopped or ended there.
+  kLate,       ///< The order's deadline had passed.
   kNoRoom,
-  kNoTicket,      ///< The ticket is missing or no longer valid.
+  kNoTicket, ///< The ticket is missing or no longer valid.
   kInvalid,
   kUnhealthy,     ///< The worker did nothing.
   kOtherLifetime, ///< Another life of the worker answered; it did nothing.
@@ -79,7 +79,7 @@
   jobs::TaskId task_;
   std::int64_t run_ = 0;
   std::string checkpoint_;
-  int progress_ = 0;       ///< Per cent; a lasting task is at work at 100.
+  int progress_ = 0;        ///< Per cent; a lasting task is at work at 100.
   std::int64_t figure_ = 0; ///< A serving task's tail in ms; otherwise processor use in millicores.
 };
 
@@ -106,9 +106,9 @@
 struct HoldOrder
 {
   std::int64_t fence_ = 0;
-  std::int64_t forgetUpTo_ = 0;              ///< Ends up to this number are recorded.
-  std::optional<std::int64_t> deadlineMs_;   ///< On the worker's clock.
-  std::chrono::milliseconds wait_{ 0 };      ///< The answer may wait this long for an end.
+  std::int64_t forgetUpTo_ = 0;            ///< Ends up to this number are recorded.
+  std::optional<std::int64_t> deadlineMs_; ///< On the worker's clock.
+  std::chrono::milliseconds wait_{ 0 };    ///< The answer may wait this long for an end.
 };
 
 /** One worker's interface. Each callback comes once, unless the port is destroyed first. */
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -52,10 +52,7 @@
   std::size_t Accepted() const { return accepted_.size(); }
 
 private:
-  int Draw(int aBound)
-  {
-    return static_cast<int>(random_() % static_cast<unsigned>(aBound));
-  }
+  int Draw(int aBound) { return static_cast<int>(random_() % static_cast<unsigned>(aBound)); }
 
   void Require(bool aHolds, const std::string& aWhat)
   {
@@ -182,8 +179,8 @@
       Soak soak(now);
       const bool good = soak.Run(steps.getValue());
       kept = kept && good;
-      std::cout << "seed " << now << (good ? " kept" : " BROKEN") << " accepted "
-                << soak.Accepted() << std::endl;
+      std::cout << "seed " << now << (good ? " kept" : " BROKEN") << " accepted " << soak.Accepted()
+                << std::endl;
       for (const std::string& what : soak.Broken()) {
         std::cout << "  " << what << std::endl;
       }
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -266,11 +266,15 @@
     AskRoster();
     KickPlacing();
   });
-  connect(worker, &Worker::Ended, this, [this, id](const auto& aTask, qint64 aRun, auto aKind, const auto& aCheckpoint, qint64 aNumber) {
-    if (const auto row = workers_.find(id); row != workers_.end()) {
-      OnEnded(row->second, aTask, aRun, aKind, aCheckpoint, aNumber);
-    }
-  });
+  connect(worker,
+          &Worker::Ended,
+          this,
+          [this, id](
+            const auto& aTask, qint64 aRun, auto aKind, const auto& aCheckpoint, qint64 aNumber) {
+            if (const auto row = workers_.find(id); row != workers_.end()) {
+              OnEnded(row->second, aTask, aRun, aKind, aCheckpoint, aNumber);
+            }
+          });
   connect(worker, &Worker::StartEnded, this, &Cell::OnStartEnded);
   connect(worker, &Worker::Found, this, [this, id](const workers::RunningTask& aTask) {
     if (const auto row = workers_.find(id); row != workers_.end()) {
@@ -344,8 +348,8 @@
 Cell::GiveUpSilent()
 {
   const clock::Moment now = Now();
-  const auto lease = std::chrono::duration_cast<clock::Milliseconds>(
-    context_.times_.lease_ * (1 + workers::kClockSlowness));
+  const auto lease = std::chrono::duration_cast<clock::Milliseconds>(context_.times_.lease_ *
+                                                                     (1 + workers::kClockSlowness));
   // The predecessor's tenure had ended before this owner's began.
   // A worker that is cut off with its predecessor may be listed no more and run on.
   if (now < begun_ + kTenureGrace + lease + kBlindSlack) {
@@ -479,8 +483,7 @@
 int
 Cell::MostAttempts(const jobs::Job& aJob) const
 {
-  const jobs::Queue* queue =
-    jobs::FindQueueByName(context_.feed_->Configuration(), aJob.queue_);
+  const jobs::Queue* queue = jobs::FindQueueByName(context_.feed_->Configuration(), aJob.queue_);
   return queue == nullptr ? 0 : queue->mostAttempts_;
 }
 
@@ -602,8 +605,7 @@
   workers::Slot slot = MakeSlot(step, aTask.run_, workers::SlotState::kRunning);
   slot.answeredAt_ = Now();
   aRow.worker_->Adopt(aTask.task_, slot);
-  jobs::Place(
-    found->second, aTask.task_, aRow.worker_->Registration().id_, aTask.run_, Now());
+  jobs::Place(found->second, aTask.task_, aRow.worker_->Registration().id_, aTask.run_, Now());
   log::Info("cell",
             "event=task-adopted cell=",
             service_,
@@ -686,48 +688,47 @@
   }
   const std::int64_t endedMs = UnixMs();
   CellWrite write;
-  write.puts_.push_back(
-    { JobKey(aJob.id_),
-      jobs::Encode(jobs::MakeEndRecord(service_, aJob.queue_, aState, endedMs)),
-      0 });
+  write.puts_.push_back({ JobKey(aJob.id_),
+                          jobs::Encode(jobs::MakeEndRecord(service_, aJob.queue_, aState, endedMs)),
+                          0 });
   if (aJob.hasProgress_) {
     write.removes_.push_back(ProgressPrefix(service_) + aJob.id_);
   }
-  write.done_ = [this, id = aJob.id_, aState, endedMs, done = std::move(done)](
-                  const WriteResult& aResult) {
-    auto cancels = cancelling_.extract(id);
-    const bool stored = aResult.outcome_ == WriteOutcome::kStored;
-    const auto row = jobs_.find(id);
-    if (stored && row != jobs_.end()) {
-      jobs::Job& job = row->second;
-      job.state_ = aState;
-      job.endedMs_ = endedMs;
-      job.live_.clear();
-      job.spec_ = {};
-      context_.metrics_->Add("quetzal_jobs_ended_total", { { "state", jobs::ToString(aState) } });
-      context_.metrics_->Observe(
-        "quetzal_job_seconds", { { "service", service_ } }, Now() - job.arrived_);
-      log::Info("cell",
-                "event=job-ended cell=",
-                service_,
-                " job=",
-                id,
-                " queue=",
-                job.queue_,
-                " state=",
-                jobs::ToString(aState),
-                " after_ms=",
-                std::chrono::duration_cast<clock::Milliseconds>(Now() - job.arrived_).count());
-      for (const auto& callback : done) {
-        callback();
+  write.done_ =
+    [this, id = aJob.id_, aState, endedMs, done = std::move(done)](const WriteResult& aResult) {
+      auto cancels = cancelling_.extract(id);
+      const bool stored = aResult.outcome_ == WriteOutcome::kStored;
+      const auto row = jobs_.find(id);
+      if (stored && row != jobs_.end()) {
+        jobs::Job& job = row->second;
+        job.state_ = aState;
+        job.endedMs_ = endedMs;
+        job.live_.clear();
+        job.spec_ = {};
+        context_.metrics_->Add("quetzal_jobs_ended_total", { { "state", jobs::ToString(aState) } });
+        context_.metrics_->Observe(
+          "quetzal_job_seconds", { { "service", service_ } }, Now() - job.arrived_);
+        log::Info("cell",
+                  "event=job-ended cell=",
+                  service_,
+                  " job=",
+                  id,
+                  " queue=",
+                  job.queue_,
+                  " state=",
+                  jobs::ToString(aState),
+                  " after_ms=",
+                  std::chrono::duration_cast<clock::Milliseconds>(Now() - job.arrived_).count());
+        for (const auto& callback : done) {
+          callback();
+        }
       }
-    }
-    if (!cancels.empty()) {
-      for (const AnswerCallback& callback : cancels.mapped()) {
-        callback({ stored ? Verdict::kCancelled : Verdict::kUndecided });
+      if (!cancels.empty()) {
+        for (const AnswerCallback& callback : cancels.mapped()) {
+          callback({ stored ? Verdict::kCancelled : Verdict::kUndecided });
+        }
       }
-    }
-  };
+    };
   writer_.Add(std::move(write), kEndDelay);
 }
 
@@ -785,6 +786,7 @@
     return aLeft.first < aRight.first;
   });
   std::vector<jobs::Job*> ordered;
+  ordered.reserve(rows.size());
   for (const auto& [key, job] : rows) {
     ordered.push_back(job);
   }
@@ -869,8 +871,7 @@
   if (spec.gang_) {
     return PlaceGang(aJob, aOccurrence, aStep, aCandidates, aRows, aNow) ? 1 : 0;
   }
-  auto& tasks =
-    aJob.live_.at(aOccurrence).steps_.at(static_cast<std::size_t>(aStep)).tasks_;
+  auto& tasks = aJob.live_.at(aOccurrence).steps_.at(static_cast<std::size_t>(aStep)).tasks_;
   placement::StepUse use;
   use.tasksOn_.assign(aCandidates.size(), 0);
   if (spec.mostPerWorker_ > 0) {
@@ -881,8 +882,7 @@
       }
     }
   }
-  const jobs::Queue* queue =
-    jobs::FindQueueByName(context_.feed_->Configuration(), aJob.queue_);
+  const jobs::Queue* queue = jobs::FindQueueByName(context_.feed_->Configuration(), aJob.queue_);
   if (queue != nullptr && queue->advice_) {
     const std::string step = StepName(aJob.id_, aOccurrence, aStep);
     const auto row = advice_.find(step);
@@ -921,8 +921,7 @@
                 clock::Moment aNow)
 {
   const jobs::StepSpec& spec = aJob.spec_.steps_.at(static_cast<std::size_t>(aStep));
-  const auto& tasks =
-    aJob.live_.at(aOccurrence).steps_.at(static_cast<std::size_t>(aStep)).tasks_;
+  const auto& tasks = aJob.live_.at(aOccurrence).steps_.at(static_cast<std::size_t>(aStep)).tasks_;
   const bool ready = std::all_of(tasks.begin(), tasks.end(), [aNow](const jobs::TaskState& aTask) {
     return aTask.phase_ == jobs::TaskPhase::kWaiting && aTask.notBefore_ <= aNow;
   });
@@ -975,9 +974,7 @@
 }
 
 std::optional<std::string>
-Cell::TicketFor(const jobs::Job& aJob,
-                const jobs::TaskId& aTask,
-                const std::string& aWorker) const
+Cell::TicketFor(const jobs::Job& aJob, const jobs::TaskId& aTask, const std::string& aWorker) const
 {
   const auto row = advice_.find(StepName(aJob.id_, aTask.occurrence_, aTask.step_));
   if (row == advice_.end()) {
--- a/src/cells/CellWriter.cpp
+++ b/src/cells/CellWriter.cpp
@@ -67,7 +67,7 @@
 void
 CellWriter::SetRoster(std::vector<jobs::RosterEntry> aRoster,
                       clock::Milliseconds aDelay,
-                      std::function<void()> aDone)
+                      const std::function<void()>& aDone)
 {
   self_.roster_ = std::move(aRoster);
   CellWrite write;
@@ -93,8 +93,7 @@
   }
   std::size_t entries = kLinkEntries;
   batch_.clear();
-  while (!pending_.empty() &&
-         entries + EntriesOf(pending_.front()) <= store::kMostChangeEntries) {
+  while (!pending_.empty() && entries + EntriesOf(pending_.front()) <= store::kMostChangeEntries) {
     entries += EntriesOf(pending_.front());
     batch_.push_back(std::move(pending_.front()));
     pending_.pop_front();
@@ -108,8 +107,7 @@
       change_.expected_.push_back({ write.mustBeAbsent_, 0 });
     }
     change_.puts_.insert(change_.puts_.end(), write.puts_.begin(), write.puts_.end());
-    change_.removes_.insert(
-      change_.removes_.end(), write.removes_.begin(), write.removes_.end());
+    change_.removes_.insert(change_.removes_.end(), write.removes_.begin(), write.removes_.end());
   }
   inFlight_ = true;
   unsure_ = false;
@@ -170,11 +168,12 @@
   std::vector<CellWrite> batch;
   batch.swap(batch_);
   std::vector<CellWrite> refused;
-  for (auto write = batch.rbegin(); write != batch.rend(); ++write) {
-    if (write->mayBeRefused_) {
-      refused.push_back(std::move(*write));
+  std::reverse(batch.begin(), batch.end());
+  for (CellWrite& write : batch) {
+    if (write.mayBeRefused_) {
+      refused.push_back(std::move(write));
     } else {
-      pending_.push_front(std::move(*write));
+      pending_.push_front(std::move(write));
     }
   }
   due_ = std::chrono::steady_clock::now() + kRetryPause;
@@ -220,13 +219,14 @@
   std::vector<CellWrite> batch;
   batch.swap(batch_);
   std::vector<std::pair<CellWrite, std::string>> refused;
-  for (auto write = batch.rbegin(); write != batch.rend(); ++write) {
+  std::reverse(batch.begin(), batch.end());
+  for (CellWrite& write : batch) {
     const store::KeyValue* existing =
-      write->mustBeAbsent_.empty() ? nullptr : FindItem(aResult.current_, write->mustBeAbsent_);
+      write.mustBeAbsent_.empty() ? nullptr : FindItem(aResult.current_, write.mustBeAbsent_);
     if (existing != nullptr) {
-      refused.emplace_back(std::move(*write), existing->value_);
+      refused.emplace_back(std::move(write), existing->value_);
     } else {
-      pending_.push_front(std::move(*write));
+      pending_.push_front(std::move(write));
     }
   }
   ScheduleNext();
@@ -266,8 +266,8 @@
   if (pending_.empty()) {
     return;
   }
-  const auto left = std::chrono::duration_cast<clock::Milliseconds>(
-    due_ - std::chrono::steady_clock::now());
+  const auto left =
+    std::chrono::duration_cast<clock::Milliseconds>(due_ - std::chrono::steady_clock::now());
   if (!timer_.isActive()) {
     timer_.start(std::max(left, clock::Milliseconds(0)));
   }
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -257,10 +257,12 @@
   const clock::Moment now = std::chrono::steady_clock::now();
   workers::HoldOrder order;
   order.fence_ = fence_;
-  order.forgetUpTo_ = workers::RecordedUpTo(book_);
+  // A worker that was silent may have begun another life, whose ends count anew.
+  order.forgetUpTo_ = silent_ ? 0 : workers::RecordedUpTo(book_);
   const bool mayRenew = tenure_() < kTenureGrace;
   if (book_.clock_ && !book_.slots_.empty() && !silent_ && mayRenew) {
-    order.deadlineMs_ = workers::ClockAt(book_, now) + static_cast<std::int64_t>(times_.lease_.count());
+    order.deadlineMs_ =
+      workers::ClockAt(book_, now) + static_cast<std::int64_t>(times_.lease_.count());
     book_.grantedMs_ = std::max(book_.grantedMs_, *order.deadlineMs_);
     order.wait_ = book_.unrecorded_.empty() ? kLookWait : kLookWait / 10;
   }
--- a/src/connection/Client.cpp
+++ b/src/connection/Client.cpp
@@ -4,9 +4,7 @@
 
 namespace quetzal::connection {
 
-Client::Client(const settings::Endpoint& aEndpoint,
-               const ClientOptions& aOptions,
-               QObject* aParent)
+Client::Client(const settings::Endpoint& aEndpoint, const ClientOptions& aOptions, QObject* aParent)
   : QObject(aParent)
   , endpoint_(aEndpoint)
   , options_(aOptions)
--- a/src/fleet/Planner.cpp
+++ b/src/fleet/Planner.cpp
@@ -97,8 +97,8 @@
 int
 HostsIn(const FleetView& aView, const std::string& aPool, bool aOpenOnly = false)
 {
-  return static_cast<int>(std::count_if(
-    aView.machines_.begin(), aView.machines_.end(), [&](const Machine& aMachine) {
+  return static_cast<int>(
+    std::count_if(aView.machines_.begin(), aView.machines_.end(), [&](const Machine& aMachine) {
       return IsInPool(aMachine, aPool) && (!aOpenOnly || aMachine.state_ == MachineState::kUp);
     }));
 }
@@ -108,8 +108,8 @@
 GiveTo(std::map<std::string, int>& aLacking, std::vector<const Machine*>& aHosts, FleetPlan& aPlan)
 {
   while (!aHosts.empty() && !aLacking.empty()) {
-    const auto neediest = std::max_element(
-      aLacking.begin(), aLacking.end(), [](const auto& aLeft, const auto& aRight) {
+    const auto neediest =
+      std::max_element(aLacking.begin(), aLacking.end(), [](const auto& aLeft, const auto& aRight) {
         return aLeft.second < aRight.second;
       });
     aPlan.moves_.push_back({ aHosts.back()->name_, neediest->first });
@@ -176,9 +176,10 @@
 const Machine*
 FindMachine(const FleetView& aView, const std::string& aName)
 {
-  const auto found = std::find_if(aView.machines_.begin(),
-                                  aView.machines_.end(),
-                                  [&aName](const Machine& aMachine) { return aMachine.name_ == aName; });
+  const auto found =
+    std::find_if(aView.machines_.begin(), aView.machines_.end(), [&aName](const Machine& aMachine) {
+      return aMachine.name_ == aName;
+    });
   return found == aView.machines_.end() ? nullptr : &*found;
 }
 
@@ -220,7 +221,8 @@
     }
   }
   std::sort(pending.begin(), pending.end(), [](const auto& aLeft, const auto& aRight) {
-    return std::pair(aLeft.first, aLeft.second->name_) < std::pair(aRight.first, aRight.second->name_);
+    return std::pair(aLeft.first, aLeft.second->name_) <
+           std::pair(aRight.first, aRight.second->name_);
   });
   int room = aWave.request_.mostAtOnce_ - down;
   for (const auto& [rank, machine] : pending) {
@@ -273,8 +275,9 @@
     return lastingHosts(aDemand) + aDemand.urgentCores_ * aOptions.margin_ / aHost.cores_;
   };
   const auto forecastHosts = [&](const PoolDemand& aDemand) {
-    return lastingHosts(aDemand) + std::max(aDemand.forecastCores_ * aOptions.margin_ / aHost.cores_,
-                                            static_cast<double>(aOptions.keptHosts_));
+    return lastingHosts(aDemand) +
+           std::max(aDemand.forecastCores_ * aOptions.margin_ / aHost.cores_,
+                    static_cast<double>(aOptions.keptHosts_));
   };
   share(lastingHosts);
   share(urgentHosts);
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -32,8 +32,9 @@
 HasSensibleAmounts(const StepSpec& aStep)
 {
   return IsAmount(aStep.cpu_) && IsAmount(aStep.memory_) && IsAmount(aStep.accelerators_) &&
-         IsAmount(aStep.estimateMs_, kMostDurationMs) && IsAmount(aStep.targetMs_, kMostDurationMs) &&
-         aStep.mostPerWorker_ >= 0 && aStep.mayMiss_ >= 0;
+         IsAmount(aStep.estimateMs_, kMostDurationMs) &&
+         IsAmount(aStep.targetMs_, kMostDurationMs) && aStep.mostPerWorker_ >= 0 &&
+         aStep.mayMiss_ >= 0;
 }
 
 bool
@@ -106,9 +107,8 @@
 bool
 IsLasting(const JobSpec& aSpec)
 {
-  return std::any_of(aSpec.steps_.begin(), aSpec.steps_.end(), [](const StepSpec& aStep) {
-    return aStep.lasting_;
-  });
+  return std::any_of(
+    aSpec.steps_.begin(), aSpec.steps_.end(), [](const StepSpec& aStep) { return aStep.lasting_; });
 }
 
 double
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -91,8 +91,7 @@
   }
   aJob.live_.erase(live);
   aJob.occurrencesDone_.insert(aOccurrence);
-  aEffect.completed_ =
-    static_cast<int>(aJob.occurrencesDone_.size()) == RepetitionsOf(aJob.spec_);
+  aEffect.completed_ = static_cast<int>(aJob.occurrencesDone_.size()) == RepetitionsOf(aJob.spec_);
 }
 
 } // namespace
--- a/src/node/CellClaim.cpp
+++ b/src/node/CellClaim.cpp
@@ -119,22 +119,21 @@
 CellClaim::ReadProgress()
 {
   const QPointer<CellClaim> self(this);
-  store::ListAll(
-    store_, cells::ProgressPrefix(cell_), [self](const store::ReadResult& aResult) {
-      if (!self) {
-        return;
-      }
-      if (aResult.status_ == store::Status::kSucceeded) {
-        self->claimed_.inheritance_.progress_ = aResult.items_;
-        Q_EMIT self->Won(self->claimed_);
-        return;
-      }
-      if (++self->attempts_ > kMostAttempts) {
-        Q_EMIT self->Failed();
-        return;
-      }
-      QTimer::singleShot(kReadPause, self, &CellClaim::ReadProgress);
-    });
+  store::ListAll(store_, cells::ProgressPrefix(cell_), [self](const store::ReadResult& aResult) {
+    if (!self) {
+      return;
+    }
+    if (aResult.status_ == store::Status::kSucceeded) {
+      self->claimed_.inheritance_.progress_ = aResult.items_;
+      Q_EMIT self->Won(self->claimed_);
+      return;
+    }
+    if (++self->attempts_ > kMostAttempts) {
+      Q_EMIT self->Failed();
+      return;
+    }
+    QTimer::singleShot(kReadPause, self, &CellClaim::ReadProgress);
+  });
 }
 
 std::size_t
@@ -144,6 +143,7 @@
           const std::map<std::string, int>& aCellCounts)
 {
   std::vector<std::string> names;
+  names.reserve(aHosts.size());
   for (const auto& [name, record] : aHosts) {
     names.push_back(name);
   }
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -86,8 +86,7 @@
   store_.Get(kFleetHandOverKey, [self, aPredecessorFence](const store::ReadResult& aResult) {
     jobs::FleetHandOver record;
     if (self && aResult.status_ == store::Status::kSucceeded && !aResult.items_.empty() &&
-        jobs::Decode(aResult.items_.front().value_, record) &&
-        record.fence_ == aPredecessorFence) {
+        jobs::Decode(aResult.items_.front().value_, record) && record.fence_ == aPredecessorFence) {
       log::Info("fleet", "event=hand-over-read hosts=", record.orderedMs_.size());
       self->handOver_ = record;
     }
@@ -299,8 +298,8 @@
     }
     demand.fresh_ = aNow - row.at_ < kReportAge;
     for (const cells::WorkerReport& worker : row.report_.workers_) {
-      const bool released = worker.closed_ && worker.settled_ && worker.runs_ == 0 &&
-                            closed_.contains(worker.id_);
+      const bool released =
+        worker.closed_ && worker.settled_ && worker.runs_ == 0 && closed_.contains(worker.id_);
       demand.workers_[worker.id_] = { worker.runs_, worker.hasLasting_, worker.closed_, released };
     }
     view.pools_[service] = std::move(demand);
@@ -317,8 +316,8 @@
   const clock::Moment now = Now();
   const double passed = std::chrono::duration<double>(now - rightsAt_).count();
   rightsAt_ = now;
-  orderRights_ = std::min(
-    kMostRights, orderRights_ + passed * options_.ordersPerSecond_ * kOrderShare);
+  orderRights_ =
+    std::min(kMostRights, orderRights_ + passed * options_.ordersPerSecond_ * kOrderShare);
   if (orderRights_ < 1) {
     return false;
   }
@@ -374,7 +373,6 @@
       const cells::CellReport& row = report->second.report_;
       text << " lasting=" << row.lastingCores_ << " urgent=" << row.urgentCores_
            << " forecast=" << row.forecastCores_ << " stuck=" << row.stuckTasks_;
-
     }
   }
   log::Info("fleet",
@@ -405,8 +403,9 @@
       }
       self->busy_.erase(aOrder.machine_);
       // The list that was read before the order shows the host where it was.
-      self->orderedAt_[aOrder.machine_] =
-        aStatus == fleet::MachineOrderStatus::kNoAnswer ? Now() : Now() - kUnsureTime + 2 * kInterval;
+      self->orderedAt_[aOrder.machine_] = aStatus == fleet::MachineOrderStatus::kNoAnswer
+                                            ? Now()
+                                            : Now() - kUnsureTime + 2 * kInterval;
       if (aStatus == fleet::MachineOrderStatus::kAccepted) {
         for (fleet::Machine& machine : self->list_) {
           if (machine.name_ == aOrder.machine_) {
@@ -493,6 +492,18 @@
   });
 }
 
+void
+FleetManager::ShowWaveLater(std::int64_t aWave, bool aCompleted)
+{
+  QTimer::singleShot(kRetryPause, this, [this, aWave, aCompleted] {
+    const auto wave = waves_.find(aWave);
+    // An older state must not replace a newer one.
+    if (wave != waves_.end() && wave->second.completed_ == aCompleted) {
+      ShowWave(aWave, aCompleted);
+    }
+  });
+}
+
 void
 FleetManager::ShowWave(std::int64_t aWave, bool aCompleted)
 {
@@ -502,13 +513,7 @@
   const QPointer<FleetManager> self(this);
   store_.Commit(change, [self, aWave, aCompleted](const store::CommitResult& aResult) {
     if (self && !self->stopped_ && aResult.status_ != store::Status::kSucceeded) {
-      QTimer::singleShot(kRetryPause, self, [self, aWave, aCompleted] {
-        const auto wave = self->waves_.find(aWave);
-        // An older state must not replace a newer one.
-        if (wave != self->waves_.end() && wave->second.completed_ == aCompleted) {
-          self->ShowWave(aWave, aCompleted);
-        }
-      });
+      self->ShowWaveLater(aWave, aCompleted);
     }
   });
 }
--- a/src/node/Messages.cpp
+++ b/src/node/Messages.cpp
@@ -12,7 +12,8 @@
   call.id_ = aRequest.id_;
   call.patienceMs_ = aRequest.patience_.count();
   if (aRequest.kind_ == RequestKind::kSubmit) {
-    call.job_ = jobs::Encode(jobs::MakeJobRecord(aRequest.cell_, aRequest.queue_, aRequest.spec_, 0));
+    call.job_ =
+      jobs::Encode(jobs::MakeJobRecord(aRequest.cell_, aRequest.queue_, aRequest.spec_, 0));
   }
   return call;
 }
--- a/src/node/Messages.h
+++ b/src/node/Messages.h
@@ -55,8 +55,13 @@
   double forecastCores_ = 0;
   std::vector<WorkerRow> workers_;
 
-  MSGPACK_DEFINE_ARRAY(service_, lastingCores_, lastingMemory_, stuckTasks_, urgentCores_,
-                       forecastCores_, workers_)
+  MSGPACK_DEFINE_ARRAY(service_,
+                       lastingCores_,
+                       lastingMemory_,
+                       stuckTasks_,
+                       urgentCores_,
+                       forecastCores_,
+                       workers_)
 };
 
 /** CellOrders between entry hosts. */
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -154,8 +154,7 @@
     const auto since = vacantSince_.try_emplace(cell, now).first->second;
     std::map<std::string, int> counts = membership_.CellCounts();
     counts[settings_.name_] += static_cast<int>(claims_.size());
-    const std::size_t rank =
-      ClaimRank(settings_.name_, cell, membership_.Hosts(), counts);
+    const std::size_t rank = ClaimRank(settings_.name_, cell, membership_.Hosts(), counts);
     if (now - since >= static_cast<int>(rank) * kRankDelay) {
       Claim(cell);
     }
@@ -216,8 +215,8 @@
   context.tenure_ = [this] { return membership_.LapsedFor(); };
   context.retention_ = settings_.retention_;
   context.awayNotice_ = settings_.awayNotice_;
-  auto* cell = new cells::Cell(
-    aCell, context, SelfRecord(), aClaimed.fence_, aClaimed.inheritance_, this);
+  auto* cell =
+    new cells::Cell(aCell, context, SelfRecord(), aClaimed.fence_, aClaimed.inheritance_, this);
   cells_[aCell] = { cell, aClaimed.keyRevision_, false };
   connect(cell, &cells::Cell::Lost, this, [this, aCell] { DropCell(aCell); });
 }
@@ -323,8 +322,7 @@
       HandleFromStore(aRequest, done, false);
       return;
     }
-    if (aAnswer.verdict_ == cells::Verdict::kUndecided &&
-        aRequest.kind_ != RequestKind::kShow) {
+    if (aAnswer.verdict_ == cells::Verdict::kUndecided && aRequest.kind_ != RequestKind::kShow) {
       JobRequest again = aRequest;
       again.unsure_ = true;
       again.patience_ -= std::chrono::duration_cast<clock::Milliseconds>(Now() - begun);
@@ -382,7 +380,7 @@
 void
 NodeProcess::HandleAtPeer(const jobs::OwnerRecord& aOwner,
                           const JobRequest& aRequest,
-                          cells::AnswerCallback aDone)
+                          const cells::AnswerCallback& aDone)
 {
   const settings::Endpoint peer{ aOwner.address_, static_cast<std::uint16_t>(aOwner.port_) };
   const clock::Moment sentAt = Now();
@@ -405,8 +403,8 @@
                 JobRequest again = aRequest;
                 again.patience_ -=
                   std::chrono::duration_cast<clock::Milliseconds>(Now() - sentAt) + kAskAgainPause;
-                again.unsure_ = aRequest.unsure_ || answered ||
-                                aResult.failure_ == CallFailure::kNoAnswer;
+                again.unsure_ =
+                  aRequest.unsure_ || answered || aResult.failure_ == CallFailure::kNoAnswer;
                 AskAgain(again, aDone);
               });
 }
@@ -420,8 +418,7 @@
     return;
   }
   if (aRequest.patience_ <= kAnswerMargin) {
-    log::Warn(
-      "node", "event=outcome-unknown job=", aRequest.id_, " cell=", aRequest.cell_);
+    log::Warn("node", "event=outcome-unknown job=", aRequest.id_, " cell=", aRequest.cell_);
     aDone({ cells::Verdict::kUndecided });
     return;
   }
@@ -522,8 +519,8 @@
                 }
                 row->second.reporting_ = false;
                 ReportReply reply;
-                if (aResult.failure_ == CallFailure::kNone &&
-                    jobs::Decode(aResult.body_, reply) && reply.owned_) {
+                if (aResult.failure_ == CallFailure::kNone && jobs::Decode(aResult.body_, reply) &&
+                    reply.owned_) {
                   ApplyOrders(aCell, { reply.closed_, reply.vacate_, reply.gone_ });
                 }
               });
--- a/src/node/PeerLinks.cpp
+++ b/src/node/PeerLinks.cpp
@@ -127,8 +127,7 @@
   connect(socket, &QTcpSocket::readyRead, this, [this, &peer] { OnBytes(peer); });
   connect(socket, &QTcpSocket::disconnected, this, [this, &peer] { Drop(peer); });
   connect(socket, &QTcpSocket::errorOccurred, this, [this, &peer] { Drop(peer); });
-  socket->connectToHost(QHostAddress(QString::fromStdString(aEndpoint.address_)),
-                        aEndpoint.port_);
+  socket->connectToHost(QHostAddress(QString::fromStdString(aEndpoint.address_)), aEndpoint.port_);
   socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   return peer;
 }
@@ -219,11 +218,8 @@
       row = peer->calls_.erase(row);
     }
     if (!late.empty()) {
-      log::Warn("peers",
-                "event=call-timeout peer=",
-                settings::ToString(endpoint),
-                " calls=",
-                late.size());
+      log::Warn(
+        "peers", "event=call-timeout peer=", settings::ToString(endpoint), " calls=", late.size());
       // The connection may have fallen silent for good; the next call makes a new one.
       Drop(*peer);
     }
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -30,11 +30,10 @@
 RankOf(const jobs::StepSpec& aStep, const Candidate& aCandidate)
 {
   const bool isNear = aStep.dataRack_.empty() || HasLabel(aCandidate, aStep.dataRack_);
-  const bool isQuiet = aStep.fills_ ? !aCandidate.hasServing_
-                                    : aStep.targetMs_ == 0 || !aCandidate.hasFilling_;
+  const bool isQuiet =
+    aStep.fills_ ? !aCandidate.hasServing_ : aStep.targetMs_ == 0 || !aCandidate.hasFilling_;
   const bool isAlike = aStep.lasting_ == aCandidate.hasLasting_;
-  return std::make_tuple(
-    -aCandidate.suspicion_, isNear, isQuiet, isAlike, -aCandidate.free_.cpu_);
+  return std::make_tuple(-aCandidate.suspicion_, isNear, isQuiet, isAlike, -aCandidate.free_.cpu_);
 }
 
 /** Fills a gang from some candidates, the roomiest first; empty where they do not hold it. */
--- a/tests/harness/JobsDeployment.cpp
+++ b/tests/harness/JobsDeployment.cpp
@@ -48,14 +48,14 @@
   : network_(MakeNetwork())
   , entryHosts_(aEntryHosts)
 {
-  mesh_ = std::make_unique<Process>("standin-mesh",
-                                    std::vector<std::string>{ "-a",
-                                                              network_ +
-                                                                std::to_string(kPlatformHost),
-                                                              "-w",
-                                                              std::to_string(aWorkers),
-                                                              "-t",
-                                                              std::to_string(aTaskMs) });
+  mesh_ =
+    std::make_unique<Process>("standin-mesh",
+                              std::vector<std::string>{ "-a",
+                                                        network_ + std::to_string(kPlatformHost),
+                                                        "-w",
+                                                        std::to_string(aWorkers),
+                                                        "-t",
+                                                        std::to_string(aTaskMs) });
   for (int i = 0; i < entryHosts_; ++i) {
     StartEntry(i);
   }
@@ -88,14 +88,14 @@
 void
 JobsDeployment::StartEntry(int aIndex)
 {
-  const QString file = QDir::temp().filePath(
-    QString("jobd-%1-%2.yaml").arg(::getpid()).arg(aIndex));
+  const QString file =
+    QDir::temp().filePath(QString("jobd-%1-%2.yaml").arg(::getpid()).arg(aIndex));
   QFile out(file);
   out.open(QIODevice::WriteOnly | QIODevice::Truncate);
   out.write(QByteArray::fromStdString(SettingsText(aIndex)));
   out.close();
-  entries_[aIndex] = std::make_unique<Process>(
-    "quetzal-jobd", std::vector<std::string>{ "-s", file.toStdString() });
+  entries_[aIndex] =
+    std::make_unique<Process>("quetzal-jobd", std::vector<std::string>{ "-s", file.toStdString() });
 }
 
 std::optional<Response>
--- a/tests/integration/JobsTest.cpp
+++ b/tests/integration/JobsTest.cpp
@@ -92,9 +92,8 @@
   BOOST_TEST(WaitUntil([&] {
     Pause(50ms);
     const auto lines = jobs_.Record("task " + id);
-    return std::all_of(lines.begin(), lines.end(), [](const std::string& aLine) {
-      return aLine.ends_with(" 0");
-    });
+    return std::all_of(
+      lines.begin(), lines.end(), [](const std::string& aLine) { return aLine.ends_with(" 0"); });
   }));
   CheckNothingRanTwice();
 }
@@ -163,9 +162,8 @@
   BOOST_TEST(jobs_.Submit(0, JobsDeployment::IdOf(2), 3, true) == kOk);
   BOOST_TEST(WaitUntil([&] { return jobs_.StartsOf(JobsDeployment::IdOf(2)) == 3; }));
   jobs_.Control("/store?mood=refusing");
-  BOOST_TEST(WaitUntil([&] {
-    return jobs_.Submit(0, JobsDeployment::IdOf(4), 1) == kUnavailable;
-  }));
+  BOOST_TEST(
+    WaitUntil([&] { return jobs_.Submit(0, JobsDeployment::IdOf(4), 1) == kUnavailable; }));
   Pause(1'500ms);
   jobs_.Control("/store?mood=well");
   BOOST_TEST(jobs_.SubmitUntilAccepted(JobsDeployment::IdOf(6), 2));
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -45,9 +45,8 @@
     std::optional<node::ClaimedCell> won;
     node::CellClaim claim(
       store_, "svc", owner, 1, store_.RevisionOf(node::CellKey("svc")), nullptr);
-    QObject::connect(&claim, &node::CellClaim::Won, &claim, [&won](const auto& aCell) {
-      won = aCell;
-    });
+    QObject::connect(
+      &claim, &node::CellClaim::Won, &claim, [&won](const auto& aCell) { won = aCell; });
     claim.Begin();
     store_.StepAll();
     BOOST_REQUIRE(won.has_value());
@@ -100,7 +99,8 @@
   Verdict Submit(Cell& aCell, const std::string& aId, const jobs::JobSpec& aSpec)
   {
     std::optional<Verdict> verdict;
-    aCell.Submit("q", aId, aSpec, [&verdict](const Answer& aAnswer) { verdict = aAnswer.verdict_; });
+    aCell.Submit(
+      "q", aId, aSpec, [&verdict](const Answer& aAnswer) { verdict = aAnswer.verdict_; });
     BOOST_TEST(RunUntil([&verdict] { return verdict.has_value(); }));
     return verdict.value_or(Verdict::kUndecided);
   }
@@ -203,8 +203,8 @@
   BOOST_TEST(timer.elapsed() >= (kTenureGrace + 400ms).count());
 }
 
-// Seen on smilga-riga, hunt-8f0a-15: a worker that had left the pool kept a lasting task waiting for
-// more than 7 s after a takeover, since it was still in the predecessor's roster.
+// Seen on smilga-riga, hunt-8f0a-15: a worker that had left the pool kept a lasting task waiting
+// for more than 7 s after a takeover, since it was still in the predecessor's roster.
 BOOST_AUTO_TEST_CASE(Takeover_WorkerHadLeftBefore_IsNotWaitedFor)
 {
   times_.lease_ = 5s;
@@ -226,8 +226,8 @@
   BOOST_TEST(timer.elapsed() < 2'000);
 }
 
-// Seen on mekong-mesh scale-1, seed 266433218922: a worker cut off together with the predecessor was
-// listed no more; the successor took it as gone and started its lasting task a second time.
+// Seen on mekong-mesh scale-1, seed 266433218922: a worker cut off together with the predecessor
+// was listed no more; the successor took it as gone and started its lasting task a second time.
 BOOST_AUTO_TEST_CASE(Takeover_SilentWorkerIsListedNoMore_IsStillWaitedFor)
 {
   times_.lease_ = 2s;
@@ -246,8 +246,8 @@
   BOOST_TEST(timer.elapsed() >= (kTenureGrace + 2s).count());
 }
 
-// Seen on smilga-riga, hunt-39ba-7: hosts that had just been moved away were still registered and in
-// the roster; a successor waited for them while a vacated lasting task stood still.
+// Seen on smilga-riga, hunt-39ba-7: hosts that had just been moved away were still registered and
+// in the roster; a successor waited for them while a vacated lasting task stood still.
 BOOST_AUTO_TEST_CASE(Takeover_SilentWorkerIsNoHostsLife_IsNotWaitedFor)
 {
   times_.lease_ = 5s;
@@ -400,9 +400,8 @@
   BOOST_CHECK(Submit(*cell, "job1", Spec(1)) == Verdict::kRefused);
   BOOST_TEST(StateOf(*cell, "job1") == "unknown-job");
   std::optional<Verdict> verdict;
-  cell->Submit("q", "job2", Spec(1), [&verdict](const Answer& aAnswer) {
-    verdict = aAnswer.verdict_;
-  });
+  cell->Submit(
+    "q", "job2", Spec(1), [&verdict](const Answer& aAnswer) { verdict = aAnswer.verdict_; });
   BOOST_REQUIRE(verdict.has_value());
   BOOST_CHECK(*verdict == Verdict::kRefused);
 }
@@ -418,9 +417,8 @@
   cell->Submit("q", "job1", Spec(1), [](const Answer&) {});
   RunFor(1'800ms);
   std::optional<Verdict> verdict;
-  cell->Submit("q", "job2", Spec(1), [&verdict](const Answer& aAnswer) {
-    verdict = aAnswer.verdict_;
-  });
+  cell->Submit(
+    "q", "job2", Spec(1), [&verdict](const Answer& aAnswer) { verdict = aAnswer.verdict_; });
   BOOST_REQUIRE(verdict.has_value());
   BOOST_CHECK(*verdict == Verdict::kRefused);
 }
--- a/tests/unit/CellWriterTest.cpp
+++ b/tests/unit/CellWriterTest.cpp
@@ -262,7 +262,8 @@
   }
   std::optional<node::ClaimedCell> won;
   node::CellClaim claim(store_, "c", Owner("a"), 1, 0, nullptr);
-  QObject::connect(&claim, &node::CellClaim::Won, &claim, [&won](const auto& aCell) { won = aCell; });
+  QObject::connect(
+    &claim, &node::CellClaim::Won, &claim, [&won](const auto& aCell) { won = aCell; });
   claim.Begin();
   store_.StepAll();
   BOOST_REQUIRE(won.has_value());
--- a/tests/unit/FakeWorkers.cpp
+++ b/tests/unit/FakeWorkers.cpp
@@ -31,7 +31,7 @@
     }
     switch (fate) {
       case OrderFate::kAnswered:
-        Answer(worker_.Start(aOrder), std::move(aDone));
+        Answer(worker_.Start(aOrder), aDone);
         return;
       case OrderFate::kDoneUnanswered:
         worker_.Start(aOrder);
@@ -54,7 +54,7 @@
       QTimer::singleShot(kSilence, this, [aDone] { aDone({}); });
       return;
     }
-    Answer(worker_.Stop(aTask, aRun, aFence), std::move(aDone));
+    Answer(worker_.Stop(aTask, aRun, aFence), aDone);
   }
 
   void Hold(const workers::HoldOrder& aOrder,
@@ -74,12 +74,12 @@
             std::int64_t /*aFence*/,
             std::function<void(const workers::OrderReply&)> aDone) override
   {
-    Answer({ workers::OrderStatus::kAccepted, FakeWorker::ClockMs() }, std::move(aDone));
+    Answer({ workers::OrderStatus::kAccepted, FakeWorker::ClockMs() }, aDone);
   }
 
 private:
   void Answer(const workers::OrderReply& aReply,
-              std::function<void(const workers::OrderReply&)> aDone)
+              const std::function<void(const workers::OrderReply&)>& aDone)
   {
     QTimer::singleShot(0, this, [aDone, aReply] { aDone(aReply); });
   }
--- a/tests/unit/FakeWorkers.h
+++ b/tests/unit/FakeWorkers.h
@@ -11,9 +11,9 @@
 enum class OrderFate : std::uint8_t
 {
   kAnswered,
-  kLost,    ///< Neither carried out nor answered.
+  kLost, ///< Neither carried out nor answered.
   kDoneUnanswered,
-  kLate,    ///< Not answered; carried out when RunLate() is called.
+  kLate, ///< Not answered; carried out when RunLate() is called.
 };
 
 /** One worker in memory. Its clock is the test's steady clock. */
--- a/tests/unit/MemoryStore.cpp
+++ b/tests/unit/MemoryStore.cpp
@@ -90,8 +90,9 @@
 MemoryStore::GrantLease(std::chrono::milliseconds aTerm,
                         std::function<void(const store::LeaseResult&)> aDone)
 {
-  calls_.push_back(
-    [this, aTerm, aDone] { aDone({ store::Status::kSucceeded, ++leases_, aTerm }); });
+  calls_.push_back([this, aTerm, aDone] {
+    aDone({ store::Status::kSucceeded, ++leases_, aTerm });
+  });
 }
 
 void
--- a/tests/unit/MemoryStore.h
+++ b/tests/unit/MemoryStore.h
@@ -36,8 +36,7 @@
                   std::function<void(const store::LeaseResult&)> aDone) override;
   void KeepLease(std::int64_t aLease,
                  std::function<void(const store::LeaseResult&)> aDone) override;
-  void EndLease(std::int64_t aLease,
-                std::function<void(const store::LeaseResult&)> aDone) override;
+  void EndLease(std::int64_t aLease, std::function<void(const store::LeaseResult&)> aDone) override;
 
   /** Decides the fate of changes from now on, first come first; kAnswered when it runs out. */
   void Expect(Fate aFate) { fates_.push_back(aFate); }
--- a/tests/unit/PlannerTest.cpp
+++ b/tests/unit/PlannerTest.cpp
@@ -1,5 +1,5 @@
-#include "include/quetzal/fleet/Forecast.h"
 #include "include/quetzal/fleet/Planner.h"
+#include "include/quetzal/fleet/Forecast.h"
 
 #include <boost/test/unit_test.hpp>
 #include <numeric>
@@ -42,7 +42,7 @@
     return view_.pools_[aPool].workers_["w-" + aName];
   }
 
-  void AddWave(std::vector<std::string> aMachines, int aMostAtOnce)
+  void AddWave(const std::vector<std::string>& aMachines, int aMostAtOnce)
   {
     WaveProgress wave;
     wave.request_ = { 1, aMachines, 20, aMostAtOnce };
