--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -30,14 +30,11 @@
   });
 }
 
-/** Tells whether the Connection field's list names a field. */
+/** Tells whether a list such as the Connection field's names a field. */
 bool
-IsNamedByConnection(const std::string* aConnection, const std::string& aName)
+IsNamedBy(const std::string& aList, const std::string& aName)
 {
-  if (aConnection == nullptr) {
-    return false;
-  }
-  const std::string& list = *aConnection;
+  const std::string& list = aList;
   std::size_t begin = 0;
   while (begin <= list.size()) {
     const std::size_t end = std::min(list.find(',', begin), list.size());
@@ -88,10 +85,16 @@
 Fields
 EndToEndFields(const Fields& aFields)
 {
-  const std::string* connection = FindField(aFields, "Connection");
+  // All rows of the field count as one list.
+  std::string connection;
+  for (const Field& field : aFields) {
+    if (SameName(field.name_, "Connection")) {
+      connection += field.value_ + ",";
+    }
+  }
   Fields result;
   for (const Field& field : aFields) {
-    if (!IsConnectionField(field.name_) && !IsNamedByConnection(connection, field.name_)) {
+    if (!IsConnectionField(field.name_) && !IsNamedBy(connection, field.name_)) {
       result.push_back(field);
     }
   }
--- a/src/http/Reader.cpp
+++ b/src/http/Reader.cpp
@@ -37,6 +37,20 @@
   return fields;
 }
 
+/** Tells whether the message has a transfer coding other than exactly one "chunked": its end would
+ * be found differently by others on the way. */
+template<typename Message>
+bool
+HasUnsafeCoding(const Message& aMessage)
+{
+  const auto rows = aMessage.equal_range(beast_http::field::transfer_encoding);
+  if (rows.first == rows.second) {
+    return false;
+  }
+  const bool single = std::next(rows.first) == rows.second;
+  return !single || !boost::beast::iequals(rows.first->value(), "chunked");
+}
+
 /** Puts bytes into a parser until it is done, fails or has used them up. The parser is not eager:
  * an eager one goes on into the body although the header has failed the body's limit. */
 template<typename Parser>
@@ -55,6 +69,10 @@
     if (error == beast_http::error::need_more) {
       return ReadState::kNeedsMore;
     }
+    if (aParser.is_header_done() && HasUnsafeCoding(aParser.get())) {
+      aError = ReadError::kMalformed;
+      return ReadState::kFailed;
+    }
     if (error) {
       aError = ErrorOf(error);
       return ReadState::kFailed;
--- a/tests/unit/ReaderTest.cpp
+++ b/tests/unit/ReaderTest.cpp
@@ -95,6 +95,47 @@
   BOOST_CHECK(reader.Error() == ReadError::kBodyTooLarge);
 }
 
+/** Returns how a request with these header rows and one chunk is read. */
+ReadState
+ReadRequestWith(const QByteArray& aRows)
+{
+  RequestReader reader({ 1'024, 100 });
+  QByteArray bytes = "POST / HTTP/1.1\r\nHost: h\r\n" + aRows + "\r\n3\r\nabc\r\n0\r\n\r\n";
+  return reader.Feed(bytes);
+}
+
+BOOST_AUTO_TEST_CASE(RequestReader_TransferCodingIsNotOneChunked_Fails)
+{
+  BOOST_CHECK(ReadRequestWith("Transfer-Encoding: chunked\r\n") == ReadState::kComplete);
+  BOOST_CHECK(ReadRequestWith("transfer-encoding:  CHUNKED \r\n") == ReadState::kComplete);
+  for (const char* rows : { "Transfer-Encoding: chunked, chunked\r\n",
+                            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                            "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+                            "Transfer-Encoding: gzip, chunked\r\n",
+                            "Transfer-Encoding: chunked, gzip\r\n" }) {
+    BOOST_TEST((ReadRequestWith(rows) == ReadState::kFailed), rows);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ResponseReader_TransferCodingIsNotOneChunked_Fails)
+{
+  ResponseReader reader({ 1'024, 100 }, false);
+  QByteArray bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n\r\n"
+                     "3\r\nabc\r\n0\r\n\r\n";
+  BOOST_CHECK(reader.Feed(bytes) == ReadState::kFailed);
+}
+
+BOOST_AUTO_TEST_CASE(EndToEndFields_SeveralConnectionRows_AllCount)
+{
+  const Fields fields{ { "Connection", "close" },
+                       { "X-Secret", "1" },
+                       { "connection", "X-Other, x-secret" },
+                       { "X-Other", "2" },
+                       { "X-Kept", "3" } };
+  const Fields expected{ { "X-Kept", "3" } };
+  BOOST_TEST((EndToEndFields(fields) == expected));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
