Host that has just started waits before it claims vacant cells

Ruled out: ranks (they were right for the hosts that had announced themselves). Change: the wait holds after every start, and ranks count from its end.

--- a/include/quetzal/node/CellClaim.h
+++ b/include/quetzal/node/CellClaim.h
@@ -51,6 +51,23 @@
   ClaimedCell claimed_;
 };
 
+/** At a start, hosts get this long to announce themselves before vacant cells are claimed. */
+inline constexpr clock::Milliseconds kSettleTime{ 700 };
+
+/** What a host knows of a vacant cell when it decides whether to claim it. */
+struct Vacancy
+{
+  clock::Moment hostStarted_{};
+  clock::Moment seenSince_{}; ///< Since when this host has seen no owner.
+  std::size_t rank_ = 0;      ///< This host's rank among those that might claim, 0 the first.
+};
+
+/** Tells whether a host should claim a vacant cell now. After a start it waits until the others
+ * have announced themselves, also where some cells still have owners: when all hosts return from a
+ * power loss, the first one up would otherwise own every cell. */
+bool
+IsClaimDue(const Vacancy& aVacancy, clock::Moment aNow);
+
 /** Returns the rank of a host among those that should take a cell, 0 for the one that should: first
  * those that would own the fewest cells for each core they may use. */
 std::size_t
--- a/src/node/CellClaim.cpp
+++ b/src/node/CellClaim.cpp
@@ -15,6 +15,8 @@
 constexpr double kLeastShare = 0.01;
 /** Failed reads after which another host may try. */
 constexpr int kMostAttempts = 30;
+/** A host that is next in line claims a vacant cell this much later than the one before it. */
+constexpr clock::Milliseconds kRankDelay{ 150 };
 
 } // namespace
 
@@ -136,6 +138,14 @@
   });
 }
 
+bool
+IsClaimDue(const Vacancy& aVacancy, clock::Moment aNow)
+{
+  const clock::Moment settled = aVacancy.hostStarted_ + kSettleTime;
+  const clock::Moment vacantSince = std::max(aVacancy.seenSince_, settled);
+  return aNow >= vacantSince + static_cast<int>(aVacancy.rank_) * kRankDelay;
+}
+
 std::size_t
 ClaimRank(const std::string& aHost,
           const std::string& aCell,
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -10,10 +10,6 @@
 namespace {
 
 constexpr clock::Milliseconds kTickInterval{ 120 };
-/** At a start, hosts get this long to announce themselves before cells are claimed. */
-constexpr clock::Milliseconds kSettleTime{ 700 };
-/** A host that is next in line claims a vacant cell this much later than the one before it. */
-constexpr clock::Milliseconds kRankDelay{ 150 };
 /** How long a handed-over cell may take to write what it has left. */
 constexpr clock::Milliseconds kHandOverTime{ 900 };
 constexpr clock::Milliseconds kReportTime{ 700 };
@@ -132,9 +128,8 @@
 NodeProcess::ClaimCells()
 {
   const clock::Moment now = Now();
-  const bool othersServe = !membership_.CellCounts().empty();
   if (stopping_ || !ports_.feed_->HasConfiguration() || !membership_.IsKnown() ||
-      !membership_.HoldsLeaseSurely() || (!othersServe && now - startedAt_ < kSettleTime)) {
+      !membership_.HoldsLeaseSurely()) {
     return;
   }
   for (const std::string& cell : WantedCells()) {
@@ -155,7 +150,7 @@
     std::map<std::string, int> counts = membership_.CellCounts();
     counts[settings_.name_] += static_cast<int>(claims_.size());
     const std::size_t rank = ClaimRank(settings_.name_, cell, membership_.Hosts(), counts);
-    if (now - since >= static_cast<int>(rank) * kRankDelay) {
+    if (IsClaimDue({ startedAt_, since, rank }, now)) {
       Claim(cell);
     }
   }
--- /dev/null
+++ b/tests/unit/CellClaimTest.cpp
@@ -0,0 +1,54 @@
+#include "include/quetzal/node/CellClaim.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace quetzal;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(CellClaimOrder)
+
+BOOST_AUTO_TEST_CASE(Rank_HostWithFewestCells_IsFirst)
+{
+  const std::map<std::string, jobs::HostRecord> hosts{ { "a", {} }, { "b", {} }, { "c", {} } };
+  const std::map<std::string, int> counts{ { "a", 1 }, { "c", 2 } };
+  BOOST_TEST(node::ClaimRank("b", "x", hosts, counts) == 0U);
+  BOOST_TEST(node::ClaimRank("a", "x", hosts, counts) == 1U);
+  BOOST_TEST(node::ClaimRank("c", "x", hosts, counts) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(Rank_HostWithMoreProcessor_TakesMoreCells)
+{
+  std::map<std::string, jobs::HostRecord> hosts{ { "big", {} }, { "small", {} } };
+  hosts["big"].processorShare_ = 0.5;
+  hosts["small"].processorShare_ = 0.12;
+  BOOST_TEST(node::ClaimRank("big", "x", hosts, { { "big", 3 } }) == 0U);
+  BOOST_TEST(node::ClaimRank("big", "x", hosts, { { "big", 4 } }) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Claim_HostJustStarted_WaitsForOthersAlsoWhereCellsHaveOwners)
+{
+  const clock::Moment start = clock::Moment() + 1h;
+  BOOST_TEST(!node::IsClaimDue({ start, start + 100ms, 0 }, start + 110ms));
+  BOOST_TEST(!node::IsClaimDue({ start, start + 100ms, 0 }, start + node::kSettleTime - 1ms));
+  BOOST_TEST(node::IsClaimDue({ start, start + 100ms, 0 }, start + node::kSettleTime));
+}
+
+BOOST_AUTO_TEST_CASE(Claim_HostJustStartedAndLaterInLine_DoesNotClaimWithTheFirst)
+{
+  const clock::Moment start = clock::Moment() + 1h;
+  BOOST_TEST(!node::IsClaimDue({ start, start + 10ms, 1 }, start + node::kSettleTime + 100ms));
+  BOOST_TEST(node::IsClaimDue({ start, start + 10ms, 1 }, start + node::kSettleTime + 200ms));
+}
+
+BOOST_AUTO_TEST_CASE(Claim_HostUpForLong_ClaimsAtOnceWhenItIsFirst)
+{
+  const clock::Moment start = clock::Moment() + 1h;
+  BOOST_TEST(node::IsClaimDue({ start, start + 60s, 0 }, start + 60s));
+  BOOST_TEST(!node::IsClaimDue({ start, start + 60s, 2 }, start + 60s + 200ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
--- a/tests/unit/CellWriterTest.cpp
+++ b/tests/unit/CellWriterTest.cpp
@@ -272,24 +272,6 @@
   BOOST_TEST(won->fence_ == store_.RevisionOf(ChainKey("c")));
 }
 
-BOOST_AUTO_TEST_CASE(Rank_HostWithFewestCells_IsFirst)
-{
-  const std::map<std::string, jobs::HostRecord> hosts{ { "a", {} }, { "b", {} }, { "c", {} } };
-  const std::map<std::string, int> counts{ { "a", 1 }, { "c", 2 } };
-  BOOST_TEST(node::ClaimRank("b", "x", hosts, counts) == 0U);
-  BOOST_TEST(node::ClaimRank("a", "x", hosts, counts) == 1U);
-  BOOST_TEST(node::ClaimRank("c", "x", hosts, counts) == 2U);
-}
-
-BOOST_AUTO_TEST_CASE(Rank_HostWithMoreProcessor_TakesMoreCells)
-{
-  std::map<std::string, jobs::HostRecord> hosts{ { "big", {} }, { "small", {} } };
-  hosts["big"].processorShare_ = 0.5;
-  hosts["small"].processorShare_ = 0.12;
-  BOOST_TEST(node::ClaimRank("big", "x", hosts, { { "big", 3 } }) == 0U);
-  BOOST_TEST(node::ClaimRank("big", "x", hosts, { { "big", 4 } }) == 1U);
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
