--- a/include/quetzal/connection/BackendPool.h
+++ b/include/quetzal/connection/BackendPool.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "include/quetzal/connection/BackendConnection.h"
-#include "include/quetzal/document/Document.h"
+#include "include/quetzal/connection/ConnectionSet.h"
+#include "include/quetzal/connection/Health.h"
+#include "include/quetzal/connection/Job.h"
+#include "include/quetzal/connection/JobResult.h"
 #include "include/quetzal/metrics/Registry.h"
-#include "include/quetzal/outcome/Outcome.h"
-#include "include/quetzal/routing/Attempt.h"
 
 #include <QtCore/QTimer>
 #include <cstdint>
@@ -13,38 +13,6 @@
 
 namespace quetzal::connection {
 
-/** One attempt that a backend server is asked to make. */
-struct Job
-{
-  std::uint64_t request_ = 0;
-  std::string bytes_;
-  bool toHead_ = false;
-  bool idempotent_ = false;
-  document::WorkClass class_ = document::WorkClass::kQuick;
-  clock::Moment deadline_{};
-  clock::Milliseconds silenceBound_{ 0 }; ///< For idempotent jobs: then it is tried elsewhere.
-};
-
-/** How an attempt ended. */
-struct JobResult
-{
-  std::uint64_t request_ = 0;
-  routing::AttemptState state_ = routing::AttemptState::kNotWritten;
-  outcome::Reason reason_ = outcome::Reason::kNone;
-  outcome::RetryReason retryReason_ = outcome::RetryReason::kConnectFailed;
-  http::Response response_;
-  std::chrono::duration<double, std::milli> time_{ 0 };
-};
-
-/** What a backend server says of itself. */
-enum class HealthState : std::uint8_t
-{
-  kUnproven, ///< Not asked yet.
-  kHealthy,
-  kLeaving,
-  kFailing,
-};
-
 /** One backend server of one service: its connections, its slots and its health. */
 class BackendPool : public QObject
 {
@@ -59,6 +27,9 @@
   /** Starts an attempt. FreeSlots() must be positive for its class. */
   void Start(const Job& aJob);
 
+  /** Ends an attempt that has stayed silent; JobEnded() follows. What it started may go on. */
+  void GiveUp(std::uint64_t aRequest);
+
   /** Returns the attempts of a class that may be started now. */
   int FreeSlots(document::WorkClass aClass) const;
 
@@ -71,7 +42,7 @@
   /** Returns when the last attempt was started. */
   clock::Moment LastStart() const { return lastStart_; }
 
-  HealthState Health() const { return health_; }
+  HealthState State() const { return health_.state_; }
   const document::Host& Host() const { return host_; }
   const document::Service& Service() const { return service_; }
 
@@ -86,6 +57,9 @@
 
 Q_SIGNALS:
   void JobEnded(const quetzal::connection::JobResult& aResult);
+  /** Nothing has been heard of an attempt within its silence bound. It goes on unless it is given
+   * up. */
+  void JobSilent(std::uint64_t aRequest);
   /** A slot has become free, or the health has changed. */
   void CapacityChanged();
 
@@ -99,41 +73,31 @@
     bool proving_ = false;
   };
 
-  BackendConnection* FindIdle(bool aProven) const;
-  BackendConnection* MakeConnection();
-  void Discard(BackendConnection* aConnection);
-  int OpenConnections() const;
-
   void Assign(Exchange& aExchange);
   void Prove(Exchange& aExchange);
   void Write(Exchange& aExchange);
   void OnAnswer(BackendConnection* aConnection, const http::Response& aResponse);
   void OnFailure(BackendConnection* aConnection, ExchangeError aError);
   void FindSilent();
-  void OnSilence(std::uint64_t aRequest);
   void End(std::uint64_t aRequest, JobResult aResult);
   Exchange* FindExchange(const BackendConnection* aConnection);
 
   void CheckHealth();
-  void OnHealthAnswer(unsigned aStatus);
-  void OnHealthFailure(ExchangeError aError);
-  void SetHealth(HealthState aHealth);
+  void SetHealth(const Health& aHealth);
   void ForgetGhosts();
   void DeleteIfDone();
 
   document::Service service_;
   document::Host host_;
-  settings::Endpoint endpoint_;
   metrics::Registry& metrics_;
   std::unordered_map<std::uint64_t, Exchange> running_;
-  std::vector<BackendConnection*> connections_;
+  ConnectionSet connections_;
   std::vector<clock::Moment> ghosts_; ///< Ends of slots whose attempts were abandoned.
   BackendConnection* healthConnection_ = nullptr;
   QTimer healthTimer_;
   QTimer silenceTimer_;
-  HealthState health_ = HealthState::kUnproven;
+  Health health_;
   clock::Moment lastStart_{};
-  int healthFailures_ = 0;
   int slotShare_ = 0;
   int connectionCap_ = 2;
   bool retired_ = false;
--- a/include/quetzal/entry/Dispatcher.h
+++ b/include/quetzal/entry/Dispatcher.h
@@ -3,18 +3,17 @@
 #include "include/quetzal/admission/Latency.h"
 #include "include/quetzal/admission/Queue.h"
 #include "include/quetzal/claims/Claim.h"
-#include "include/quetzal/connection/BackendPool.h"
 #include "include/quetzal/document/Document.h"
+#include "include/quetzal/entry/BackendServers.h"
 #include "include/quetzal/metrics/Registry.h"
-#include "include/quetzal/platform/HostList.h"
 #include "include/quetzal/retry/Budget.h"
-#include "include/quetzal/routing/Choice.h"
-#include "include/quetzal/routing/Ejection.h"
+#include "include/quetzal/retry/Decision.h"
 #include "include/quetzal/view/View.h"
 
 #include <QtCore/QObject>
 #include <QtCore/QTimer>
 #include <map>
+#include <memory>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -85,12 +84,6 @@
   void SlotsWanted(const std::string& aService);
 
 private:
-  struct Server
-  {
-    connection::BackendPool* pool_ = nullptr;
-    routing::Standing standing_;
-  };
-
   /** A retry that waits for a backend server that it has not tried. */
   struct Parked
   {
@@ -105,7 +98,7 @@
     std::vector<Parked> parked_;
     retry::Budget budget_;
     std::map<document::WorkClass, admission::Latency> latency_;
-    std::map<std::string, Server> servers_; ///< By host name.
+    std::unique_ptr<BackendServers> servers_;
   };
 
   struct Pending
@@ -117,12 +110,11 @@
     clock::Moment arrived_{};
     bool claimed_ = false;           ///< It holds its key.
     bool abandoned_ = false;         ///< Its caller has left.
+    bool wasSilent_ = false;         ///< An attempt was given up since nothing was heard of it.
     std::optional<Verdict> earlier_; ///< What the last attempt that may have run came to.
   };
 
-  void MakePools(const view::View& aView, ServiceState& aState);
-  connection::BackendPool* MakePool(const document::Service& aService, const document::Host& aHost);
-  void RetirePools(ServiceState& aState);
+  std::unique_ptr<BackendServers> MakeServers(const std::string& aService);
 
   outcome::Reason Admit(ServiceState& aState, const Ticket& aTicket);
   void Proceed(ServiceState& aState, const Pending& aPending);
@@ -131,24 +123,14 @@
   void Pump(ServiceState& aState);
   void PumpParked(ServiceState& aState);
   void Park(ServiceState& aState, const Pending& aPending);
-  bool OthersAreAvailable(const ServiceState& aState, const Pending& aPending) const;
   std::optional<std::size_t> Choose(const std::vector<routing::Candidate>& aCandidates);
   bool SendNext(ServiceState& aState);
-  std::vector<routing::Candidate> CandidatesFor(const ServiceState& aState,
-                                                const Pending& aPending) const;
-  bool IsAvailable(const Server& aServer, clock::Moment aNow) const;
-  bool HasFreeSlot(const ServiceState& aState, document::WorkClass aClass) const;
   void Send(ServiceState& aState, Pending& aPending, const std::string& aHost);
   void OnJobEnded(const std::string& aHost, const connection::JobResult& aResult);
-  /** Tells whether an attempt speaks against its backend server. One that was sent with little time
-   * left and missed its deadline does not. */
-  static bool HasFailed(ServiceState& aState,
-                        document::WorkClass aWorkClass,
-                        const connection::JobResult& aResult);
-  void Judge(ServiceState& aState,
-             document::WorkClass aWorkClass,
-             const std::string& aHost,
-             const connection::JobResult& aResult);
+  void OnJobSilent(const std::string& aHost, std::uint64_t aRequest);
+  static retry::Question QuestionOf(const ServiceState& aState,
+                                    const Pending& aPending,
+                                    routing::AttemptState aAttempt);
   bool RetriesIfAllowed(ServiceState& aState,
                         Pending& aPending,
                         const connection::JobResult& aResult);
--- a/include/quetzal/retry/Decision.h
+++ b/include/quetzal/retry/Decision.h
@@ -27,4 +27,10 @@
 Action
 Decide(const Question& aQuestion);
 
+/** Decides whether an attempt that has stayed silent for longer than usual is given up for one on
+ * another backend server. Only a request's first attempt is: an answer that is merely slow would
+ * otherwise be worked on again and again, and the request may use all of its caller's time. */
+bool
+ShouldTryElsewhere(const Question& aQuestion, bool aOthersAreAvailable);
+
 } // namespace quetzal::retry
--- a/src/connection/BackendPool.cpp
+++ b/src/connection/BackendPool.cpp
@@ -6,30 +6,22 @@
 #include "include/quetzal/log/Log.h"
 
 #include <algorithm>
-#include <array>
 
 namespace quetzal::connection {
 namespace {
 
 using clock::Now;
-using outcome::Reason;
 using outcome::RetryReason;
-using routing::AttemptEvent;
-using routing::AttemptState;
 
 constexpr clock::Milliseconds kHealthInterval{ 1'000 };
 constexpr clock::Milliseconds kHealthTime{ 1'000 };
 constexpr clock::Milliseconds kFirstHealthTime{ 10 };
-constexpr int kHealthFailuresToFail = 2;
 /** Time in which a backend server gives up work whose deadline has passed. */
 constexpr clock::Milliseconds kGiveUpTime{ 250 };
 constexpr clock::Milliseconds kSilenceInterval{ 10 };
 constexpr clock::Milliseconds kProofTimeLimit{ 250 };
 constexpr http::Limits kHealthLimits{ 8 * 1024, 8 * 1024 };
 constexpr std::uint32_t kAnswerHeaderBytes = 32 * 1024;
-constexpr unsigned kLeavingStatus = 503;
-constexpr unsigned kFirstRedirect = 300;
-constexpr unsigned kOk = 200;
 
 clock::Milliseconds
 TimeUntil(clock::Moment aMoment)
@@ -38,69 +30,6 @@
   return std::max(left, clock::Milliseconds(1));
 }
 
-Reason
-ReasonOf(ExchangeError aError)
-{
-  switch (aError) {
-    case ExchangeError::kConnectFailed:
-      return Reason::kConnectFailed;
-    case ExchangeError::kConnectionLost:
-      return Reason::kConnectionLost;
-    case ExchangeError::kTruncated:
-      return Reason::kAnswerTruncated;
-    case ExchangeError::kMalformed:
-      return Reason::kAnswerMalformed;
-    case ExchangeError::kTooLarge:
-      return Reason::kAnswerTooLarge;
-    case ExchangeError::kTimedOut:
-      return Reason::kDeadlinePassed;
-  }
-  return Reason::kConnectionLost;
-}
-
-AttemptEvent
-EventOf(ExchangeError aError)
-{
-  switch (aError) {
-    case ExchangeError::kConnectFailed:
-      return AttemptEvent::kConnectFailed;
-    case ExchangeError::kConnectionLost:
-      return AttemptEvent::kConnectionLost;
-    case ExchangeError::kTimedOut:
-      return AttemptEvent::kTimedOut;
-    case ExchangeError::kTruncated:
-    case ExchangeError::kMalformed:
-    case ExchangeError::kTooLarge:
-      return AttemptEvent::kBadAnswer;
-  }
-  return AttemptEvent::kConnectionLost;
-}
-
-/** Returns the state that an attempt was in when it ended. */
-AttemptState
-StateBefore(bool aWritten)
-{
-  const AttemptState start = AttemptState::kNotWritten;
-  return aWritten ? routing::Next(start, AttemptEvent::kFirstByteWritten) : start;
-}
-
-RetryReason
-RetryReasonOf(ExchangeError aError)
-{
-  switch (aError) {
-    case ExchangeError::kConnectFailed:
-      return RetryReason::kConnectFailed;
-    case ExchangeError::kConnectionLost:
-    case ExchangeError::kTimedOut:
-      return RetryReason::kConnectionLost;
-    case ExchangeError::kTruncated:
-    case ExchangeError::kMalformed:
-    case ExchangeError::kTooLarge:
-      return RetryReason::kBadAnswer;
-  }
-  return RetryReason::kConnectionLost;
-}
-
 bool
 IsRefusal(const document::Service& aService, unsigned aStatus)
 {
@@ -124,9 +53,11 @@
   : QObject(aParent)
   , service_(aService)
   , host_(aHost)
-  , endpoint_{ aHost.address_, aService.port_ }
   , metrics_(aMetrics)
+  , connections_({ aHost.address_, aService.port_ }, this)
 {
+  connect(&connections_, &ConnectionSet::Answered, this, &BackendPool::OnAnswer);
+  connect(&connections_, &ConnectionSet::Failed, this, &BackendPool::OnFailure);
   connect(&healthTimer_, &QTimer::timeout, this, &BackendPool::CheckHealth);
   connect(&silenceTimer_, &QTimer::timeout, this, &BackendPool::FindSilent);
   healthTimer_.start(kFirstHealthTime);
@@ -179,12 +110,6 @@
   return std::min(free, admission::SlotsForLongWork(share) - static_cast<int>(longRunning));
 }
 
-int
-BackendPool::OpenConnections() const
-{
-  return static_cast<int>(connections_.size());
-}
-
 void
 BackendPool::Start(const Job& aJob)
 {
@@ -195,62 +120,15 @@
   Assign(exchange);
 }
 
-BackendConnection*
-BackendPool::FindIdle(bool aProven) const
-{
-  BackendConnection* best = nullptr;
-  for (BackendConnection* connection : connections_) {
-    if (!connection->IsIdle() || connection == healthConnection_) {
-      continue;
-    }
-    if (aProven && connection->IsCondemned()) {
-      continue;
-    }
-    if (best == nullptr || connection->LastHeard() > best->LastHeard()) {
-      best = connection;
-    }
-  }
-  return best;
-}
-
-BackendConnection*
-BackendPool::MakeConnection()
-{
-  auto* connection = new BackendConnection(endpoint_, this);
-  connections_.push_back(connection);
-  connect(connection,
-          &BackendConnection::AnswerArrived,
-          this,
-          [this, connection](const http::Response& aResponse) { OnAnswer(connection, aResponse); });
-  connect(connection,
-          &BackendConnection::ExchangeFailed,
-          this,
-          [this, connection](ExchangeError aError) { OnFailure(connection, aError); });
-  connect(
-    connection, &BackendConnection::IdleEnded, this, [this, connection] { Discard(connection); });
-  return connection;
-}
-
-void
-BackendPool::Discard(BackendConnection* aConnection)
-{
-  aConnection->Abort();
-  std::erase(connections_, aConnection);
-  if (healthConnection_ == aConnection) {
-    healthConnection_ = nullptr;
-  }
-  aConnection->deleteLater();
-}
-
 void
 BackendPool::Assign(Exchange& aExchange)
 {
   const bool idempotent = aExchange.job_.idempotent_;
-  BackendConnection* idle = FindIdle(true);
+  BackendConnection* idle = connections_.FindIdle(true, healthConnection_);
   if (idle != nullptr) {
     const auto silence = std::chrono::duration_cast<clock::Milliseconds>(Now() - idle->LastHeard());
     aExchange.connection_ = idle;
-    if (NeedsProof(idempotent, silence)) {
+    if (aExchange.job_.needsProof_ || NeedsProof(idempotent, silence)) {
       Prove(aExchange);
     } else {
       Write(aExchange);
@@ -258,11 +136,11 @@
     return;
   }
   // A condemned connection gives way where the bound leaves no room for a fresh one.
-  BackendConnection* condemned = FindIdle(false);
-  if (condemned != nullptr && OpenConnections() >= connectionCap_) {
-    Discard(condemned);
+  BackendConnection* condemned = connections_.FindIdle(false, healthConnection_);
+  if (condemned != nullptr && connections_.Size() >= connectionCap_) {
+    connections_.Discard(condemned);
   }
-  aExchange.connection_ = MakeConnection();
+  aExchange.connection_ = connections_.Make();
   Write(aExchange);
 }
 
@@ -310,9 +188,9 @@
   if (aConnection == healthConnection_) {
     healthConnection_ = nullptr;
     if (dead) {
-      Discard(aConnection);
+      connections_.Discard(aConnection);
     }
-    OnHealthAnswer(aResponse.status_);
+    SetHealth(AfterAnswer(health_, aResponse.status_));
     return;
   }
   Exchange* exchange = FindExchange(aConnection);
@@ -321,7 +199,7 @@
   }
   if (exchange->proving_) {
     if (dead) {
-      Discard(aConnection);
+      connections_.Discard(aConnection);
       Assign(*exchange);
       return;
     }
@@ -329,17 +207,10 @@
     return;
   }
   if (dead) {
-    Discard(aConnection);
+    connections_.Discard(aConnection);
   }
-  JobResult result;
   const bool refused = IsRefusal(service_, aResponse.status_);
-  result.state_ =
-    routing::Next(AttemptState::kWritten,
-                  refused ? AttemptEvent::kRefusalComplete : AttemptEvent::kAnswerComplete);
-  result.reason_ = refused ? Reason::kBackendRefused : Reason::kNone;
-  result.retryReason_ = refused ? RetryReason::kBackendRefused : RetryReason::kServerError;
-  result.response_ = aResponse;
-  End(exchange->job_.request_, std::move(result));
+  End(exchange->job_.request_, ResultOfAnswer(aResponse, refused));
 }
 
 void
@@ -348,9 +219,13 @@
   const bool written = aConnection->HasWritten();
   const bool isHealth = aConnection == healthConnection_;
   Exchange* exchange = isHealth ? nullptr : FindExchange(aConnection);
-  Discard(aConnection);
+  connections_.Discard(aConnection);
   if (isHealth) {
-    OnHealthFailure(aError);
+    healthConnection_ = nullptr;
+    if (aError == ExchangeError::kTimedOut) {
+      connections_.CondemnAll();
+    }
+    SetHealth(AfterFailure(health_));
     return;
   }
   if (exchange == nullptr) {
@@ -368,11 +243,7 @@
     // The backend server may still be at work on it.
     ghosts_.push_back(Now() + kGiveUpTime);
   }
-  JobResult result;
-  result.state_ = routing::Next(StateBefore(written), EventOf(aError));
-  result.reason_ = ReasonOf(aError);
-  result.retryReason_ = RetryReasonOf(aError);
-  End(exchange->job_.request_, std::move(result));
+  End(exchange->job_.request_, ResultOfFailure(aError, written));
 }
 
 void
@@ -381,10 +252,11 @@
   const auto now = Now();
   std::vector<std::uint64_t> silent;
   bool anyBounded = false;
-  for (const auto& [request, exchange] : running_) {
+  for (auto& [request, exchange] : running_) {
     const bool bounded = exchange.silentAt_ != clock::Moment{};
     anyBounded = anyBounded || bounded;
     if (bounded && exchange.silentAt_ <= now && !exchange.connection_->HasAnswerBegun()) {
+      exchange.silentAt_ = {};
       silent.push_back(request);
     }
   }
@@ -392,30 +264,22 @@
     silenceTimer_.stop();
   }
   for (const std::uint64_t request : silent) {
-    OnSilence(request);
+    Q_EMIT JobSilent(request);
   }
 }
 
 void
-BackendPool::OnSilence(std::uint64_t aRequest)
+BackendPool::GiveUp(std::uint64_t aRequest)
 {
   Exchange& exchange = running_.at(aRequest);
   // Connections of the same age may have gone silent together: each is proven before its next use.
-  for (BackendConnection* connection : connections_) {
-    if (connection->LastHeard() <= exchange.started_) {
-      connection->Condemn();
-    }
-  }
+  connections_.CondemnHeardBy(exchange.started_);
   const bool written = exchange.connection_->HasWritten();
   if (written) {
     ghosts_.push_back(exchange.job_.deadline_ + kGiveUpTime);
   }
-  Discard(exchange.connection_);
-  JobResult result;
-  result.state_ = routing::Next(StateBefore(written), AttemptEvent::kTimedOut);
-  result.reason_ = written ? Reason::kDeadlinePassed : Reason::kConnectFailed;
-  result.retryReason_ = RetryReason::kSilent;
-  End(aRequest, std::move(result));
+  connections_.Discard(exchange.connection_);
+  End(aRequest, ResultOfSilence(written));
 }
 
 void
@@ -438,59 +302,23 @@
   if (retired_ || healthConnection_ != nullptr) {
     return;
   }
-  BackendConnection* connection = FindIdle(false);
-  if (connection == nullptr && OpenConnections() >= connectionCap_) {
+  BackendConnection* connection = connections_.FindIdle(false, healthConnection_);
+  if (connection == nullptr && connections_.Size() >= connectionCap_) {
     return; // The requests in flight will tell.
   }
-  healthConnection_ = connection != nullptr ? connection : MakeConnection();
+  healthConnection_ = connection != nullptr ? connection : connections_.Make();
   healthConnection_->Send(HealthRequest(service_), false, kHealthLimits, kHealthTime);
 }
 
 void
-BackendPool::OnHealthAnswer(unsigned aStatus)
-{
-  if (aStatus >= kOk && aStatus < kFirstRedirect) {
-    healthFailures_ = 0;
-    SetHealth(HealthState::kHealthy);
-    return;
-  }
-  if (aStatus == kLeavingStatus) {
-    SetHealth(HealthState::kLeaving);
-    return;
-  }
-  OnHealthFailure(ExchangeError::kMalformed);
-}
-
-void
-BackendPool::OnHealthFailure(ExchangeError aError)
-{
-  if (aError == ExchangeError::kTimedOut) {
-    for (BackendConnection* connection : connections_) {
-      connection->Condemn();
-    }
-  }
-  ++healthFailures_;
-  if (health_ == HealthState::kUnproven || healthFailures_ >= kHealthFailuresToFail) {
-    SetHealth(HealthState::kFailing);
-  }
-}
-
-void
-BackendPool::SetHealth(HealthState aHealth)
+BackendPool::SetHealth(const Health& aHealth)
 {
-  if (health_ == aHealth) {
+  const bool changed = aHealth.state_ != health_.state_;
+  health_ = aHealth;
+  if (!changed) {
     return;
   }
-  health_ = aHealth;
-  static constexpr std::array<const char*, 4> kNames = {
-    "unproven", "healthy", "leaving", "failing"
-  };
-  log::Info("health",
-            service_.name_,
-            " on ",
-            host_.name_,
-            " is ",
-            kNames.at(static_cast<std::size_t>(aHealth)));
+  log::Info("health", service_.name_, " on ", host_.name_, " is ", ToString(aHealth.state_));
   Q_EMIT CapacityChanged();
 }
 
--- a/src/entry/Dispatcher.cpp
+++ b/src/entry/Dispatcher.cpp
@@ -3,7 +3,6 @@
 #include "include/quetzal/admission/QueueCommands.h"
 #include "include/quetzal/admission/QueueQueries.h"
 #include "include/quetzal/clock/Now.h"
-#include "include/quetzal/document/DocumentQueries.h"
 #include "include/quetzal/log/Log.h"
 #include "include/quetzal/retry/Decision.h"
 
@@ -14,7 +13,6 @@
 namespace {
 
 using clock::Now;
-using connection::BackendPool;
 using connection::JobResult;
 using document::WorkClass;
 using outcome::Reason;
@@ -73,6 +71,18 @@
   return Reason::kClaimUnavailable;
 }
 
+/** Tells whether an attempt speaks against its backend server. One that was sent with little time
+ * left and missed its deadline does not. */
+bool
+HasFailed(const admission::Latency& aUsual, const JobResult& aResult)
+{
+  if (aResult.state_ == routing::AttemptState::kAnswered) {
+    return aResult.response_.status_ >= kFirstServerError;
+  }
+  const bool tooLate = aResult.reason_ == Reason::kDeadlinePassed;
+  return !tooLate || aResult.time_ >= admission::SilenceBound(aUsual);
+}
+
 /** Returns the request's bytes with the time that is left for it. */
 std::string
 BytesOf(const Ticket& aTicket)
@@ -108,7 +118,10 @@
     named.insert(service.name_);
     ServiceState& state = services_[service.name_];
     state.promise_ = service;
-    MakePools(aView, state);
+    if (!state.servers_) {
+      state.servers_ = MakeServers(service.name_);
+    }
+    state.servers_->Assign(*aView.document_, service);
   }
   for (auto entry = services_.begin(); entry != services_.end();) {
     ServiceState& state = entry->second;
@@ -117,7 +130,7 @@
       ++entry;
       continue;
     }
-    RetirePools(state);
+    state.servers_->Retire();
     // Requests in flight still need the state; it goes once they have ended.
     const bool used = std::any_of(pending_.begin(), pending_.end(), [&entry](const auto& aItem) {
       return aItem.second.ticket_.service_ == entry->first;
@@ -126,50 +139,19 @@
   }
 }
 
-void
-Dispatcher::RetirePools(ServiceState& aState)
+std::unique_ptr<BackendServers>
+Dispatcher::MakeServers(const std::string& aService)
 {
-  for (auto& [host, server] : aState.servers_) {
-    server.pool_->Retire();
-  }
-  aState.servers_.clear();
-}
-
-void
-Dispatcher::MakePools(const view::View& aView, ServiceState& aState)
-{
-  std::map<std::string, Server> servers;
-  for (const document::Host* host : document::HostsOf(*aView.document_, aState.promise_)) {
-    const auto known = aState.servers_.find(host->name_);
-    const bool same = known != aState.servers_.end() && known->second.pool_->Host() == *host &&
-                      known->second.pool_->Service().port_ == aState.promise_.port_;
-    if (same) {
-      known->second.pool_->SetService(aState.promise_);
-      servers.insert(aState.servers_.extract(known));
-    } else {
-      servers[host->name_].pool_ = MakePool(aState.promise_, *host);
-    }
-  }
-  RetirePools(aState);
-  aState.servers_ = std::move(servers);
-}
-
-BackendPool*
-Dispatcher::MakePool(const document::Service& aService, const document::Host& aHost)
-{
-  auto* pool = new BackendPool(aService, aHost, metrics_, this);
-  const std::string host = aHost.name_;
-  const std::string service = aService.name_;
-  connect(pool, &BackendPool::JobEnded, this, [this, host](const JobResult& aResult) {
-    OnJobEnded(host, aResult);
-  });
-  connect(pool, &BackendPool::CapacityChanged, this, [this, service] {
-    const auto state = services_.find(service);
+  auto servers = std::make_unique<BackendServers>(availabilityZone_, hostStates_, metrics_, this);
+  connect(servers.get(), &BackendServers::JobEnded, this, &Dispatcher::OnJobEnded);
+  connect(servers.get(), &BackendServers::JobSilent, this, &Dispatcher::OnJobSilent);
+  connect(servers.get(), &BackendServers::CapacityChanged, this, [this, aService] {
+    const auto state = services_.find(aService);
     if (state != services_.end()) {
       Pump(state->second);
     }
   });
-  return pool;
+  return servers;
 }
 
 void
@@ -181,14 +163,13 @@
   }
 }
 
-std::vector<BackendPool*>
+std::vector<connection::BackendPool*>
 Dispatcher::Pools() const
 {
-  std::vector<BackendPool*> pools;
+  std::vector<connection::BackendPool*> pools;
   for (const auto& [name, state] : services_) {
-    for (const auto& [host, server] : state.servers_) {
-      pools.push_back(server.pool_);
-    }
+    const auto of = state.servers_->Pools();
+    pools.insert(pools.end(), of.begin(), of.end());
   }
   return pools;
 }
@@ -257,17 +238,11 @@
 {
   admission::Arrival arrival;
   const WorkClass workClass = aTicket.route_.class_;
-  bool anyAvailable = false;
-  const auto now = Now();
-  for (const auto& [host, server] : aState.servers_) {
-    if (IsAvailable(server, now)) {
-      anyAvailable = true;
-      arrival.slots_ += server.pool_->Running() + std::max(server.pool_->FreeSlots(workClass), 0);
-    }
-  }
-  if (!anyAvailable) {
+  const BackendServers::Room room = aState.servers_->RoomFor(workClass);
+  if (!room.anyAvailable_) {
     return Reason::kNoBackendServer;
   }
+  arrival.slots_ = room.slots_;
   arrival.queued_ = admission::SizeOf(aState.queue_);
   arrival.queueLength_ = static_cast<std::size_t>(aState.promise_.queueLength_);
   arrival.ahead_ = admission::CountAhead(aState.queue_, workClass, aTicket.deadline_);
@@ -301,26 +276,6 @@
   Q_EMIT SlotsWanted(aState.promise_.name_);
 }
 
-bool
-Dispatcher::IsAvailable(const Server& aServer, clock::Moment aNow) const
-{
-  const auto listed = hostStates_.find(aServer.pool_->Host().name_);
-  const bool leaving =
-    listed != hostStates_.end() && listed->second == platform::HostState::kLeaving;
-  return !leaving && aServer.pool_->Health() == connection::HealthState::kHealthy &&
-         !routing::IsEjected(aServer.standing_, aNow);
-}
-
-bool
-Dispatcher::HasFreeSlot(const ServiceState& aState, WorkClass aClass) const
-{
-  const auto now = Now();
-  return std::any_of(
-    aState.servers_.begin(), aState.servers_.end(), [this, aClass, now](const auto& aItem) {
-      return IsAvailable(aItem.second, now) && aItem.second.pool_->FreeSlots(aClass) > 0;
-    });
-}
-
 void
 Dispatcher::Pump(ServiceState& aState)
 {
@@ -332,41 +287,22 @@
 bool
 Dispatcher::SendNext(ServiceState& aState)
 {
-  const auto next =
-    admission::TakeNext(aState.queue_,
-                        !aState.queue_.quick_.empty() && HasFreeSlot(aState, WorkClass::kQuick),
-                        !aState.queue_.long_.empty() && HasFreeSlot(aState, WorkClass::kLong));
+  const auto next = admission::TakeNext(
+    aState.queue_,
+    !aState.queue_.quick_.empty() && aState.servers_->HasFreeSlot(WorkClass::kQuick),
+    !aState.queue_.long_.empty() && aState.servers_->HasFreeSlot(WorkClass::kLong));
   if (!next) {
     return false;
   }
   Pending& pending = pending_.at(next->request_);
-  const std::vector<routing::Candidate> candidates = CandidatesFor(aState, pending);
+  const std::vector<routing::Candidate> candidates =
+    aState.servers_->CandidatesFor(pending.ticket_.route_.class_, pending.tried_);
   const auto chosen = Choose(candidates);
   Q_ASSERT(chosen);
   Send(aState, pending, candidates[*chosen].host_);
   return true;
 }
 
-std::vector<routing::Candidate>
-Dispatcher::CandidatesFor(const ServiceState& aState, const Pending& aPending) const
-{
-  std::vector<routing::Candidate> candidates;
-  candidates.reserve(aState.servers_.size());
-  const auto now = Now();
-  for (const auto& [host, server] : aState.servers_) {
-    routing::Candidate candidate;
-    candidate.host_ = host;
-    candidate.sameZone_ = server.pool_->Host().availabilityZone_ == availabilityZone_;
-    candidate.available_ = IsAvailable(server, now);
-    candidate.tried_ = aPending.tried_.contains(host);
-    candidate.freeSlots_ = server.pool_->FreeSlots(aPending.ticket_.route_.class_);
-    candidate.inFlight_ = server.pool_->UsedSlots();
-    candidate.weight_ = routing::WeightOf(server.standing_, now);
-    candidates.push_back(std::move(candidate));
-  }
-  return candidates;
-}
-
 void
 Dispatcher::Send(ServiceState& aState, Pending& aPending, const std::string& aHost)
 {
@@ -381,8 +317,9 @@
   job.idempotent_ = ticket.route_.idempotent_;
   job.class_ = ticket.route_.class_;
   job.deadline_ = ticket.deadline_;
+  job.needsProof_ = aPending.wasSilent_;
   job.silenceBound_ = admission::SilenceBound(aState.latency_[ticket.route_.class_]);
-  aState.servers_.at(aHost).pool_->Start(job);
+  aState.servers_->PoolOf(aHost).Start(job);
 }
 
 void
@@ -393,7 +330,8 @@
   Pending& pending = found->second;
   pending.sentTo_.clear();
   ServiceState& state = services_.at(pending.ticket_.service_);
-  Judge(state, pending.ticket_.route_.class_, aHost, aResult);
+  const admission::Latency& usual = state.latency_[pending.ticket_.route_.class_];
+  state.servers_->Judge(aHost, HasFailed(usual, aResult));
   const bool answered = aResult.state_ == routing::AttemptState::kAnswered;
   const bool serverError = answered && aResult.response_.status_ >= kFirstServerError;
   if (answered && !serverError) {
@@ -409,52 +347,38 @@
   Finish(aResult.request_, aResult.reason_, aResult.response_);
 }
 
-bool
-Dispatcher::HasFailed(ServiceState& aState, WorkClass aWorkClass, const JobResult& aResult)
-{
-  if (aResult.state_ == routing::AttemptState::kAnswered) {
-    return aResult.response_.status_ >= kFirstServerError;
-  }
-  const bool tooLate = aResult.reason_ == Reason::kDeadlinePassed;
-  return !tooLate || aResult.time_ >= admission::SilenceBound(aState.latency_[aWorkClass]);
-}
-
 void
-Dispatcher::Judge(ServiceState& aState,
-                  WorkClass aWorkClass,
-                  const std::string& aHost,
-                  const JobResult& aResult)
+Dispatcher::OnJobSilent(const std::string& aHost, std::uint64_t aRequest)
 {
-  const auto server = aState.servers_.find(aHost);
-  if (server == aState.servers_.end()) {
-    return;
-  }
-  const bool failed = HasFailed(aState, aWorkClass, aResult);
-  routing::Standing& standing = server->second.standing_;
-  standing = routing::Observe(standing, !failed);
-  const auto now = Now();
-  const auto ejected =
-    std::count_if(aState.servers_.begin(), aState.servers_.end(), [now](const auto& aItem) {
-      return routing::IsEjected(aItem.second.standing_, now);
-    });
-  if (!routing::ShouldEject(
-        standing, static_cast<std::size_t>(ejected), aState.servers_.size(), now)) {
+  Pending& pending = pending_.at(aRequest);
+  ServiceState& state = services_.at(pending.ticket_.service_);
+  const retry::Question question = QuestionOf(state, pending, routing::AttemptState::kLost);
+  const bool othersAreAvailable = state.servers_->HasAvailableBut(pending.tried_);
+  if (pending.abandoned_ || !retry::ShouldTryElsewhere(question, othersAreAvailable)) {
     return;
   }
-  standing = routing::Eject(standing, now);
-  metrics_.Add("quetzal_ejections_total", { { "service", aState.promise_.name_ } });
-  log::Warn("routing", "Ejected ", aHost, " from ", aState.promise_.name_);
+  pending.wasSilent_ = true;
+  state.servers_->PoolOf(aHost).GiveUp(aRequest);
 }
 
-bool
-Dispatcher::RetriesIfAllowed(ServiceState& aState, Pending& aPending, const JobResult& aResult)
+retry::Question
+Dispatcher::QuestionOf(const ServiceState& aState,
+                       const Pending& aPending,
+                       routing::AttemptState aAttempt)
 {
   retry::Question question;
-  question.state_ = aResult.state_;
+  question.state_ = aAttempt;
   question.idempotent_ = aPending.ticket_.route_.idempotent_;
   question.attempts_ = aPending.attempts_;
   question.left_ = TimeLeft(aPending.ticket_.deadline_);
   question.budgetAllows_ = retry::CanSpend(aState.budget_);
+  return question;
+}
+
+bool
+Dispatcher::RetriesIfAllowed(ServiceState& aState, Pending& aPending, const JobResult& aResult)
+{
+  const retry::Question question = QuestionOf(aState, aPending, aResult.state_);
   const retry::Action action = retry::Decide(question);
   if (action == retry::Action::kGiveUp || aPending.abandoned_) {
     return false;
@@ -465,7 +389,7 @@
   metrics_.Add("quetzal_retries_total",
                { { "service", aState.promise_.name_ },
                  { "reason", std::string(outcome::ToString(aResult.retryReason_)) } });
-  if (OthersAreAvailable(aState, aPending)) {
+  if (aState.servers_->HasAvailableBut(aPending.tried_)) {
     Park(aState, aPending);
   } else {
     Enqueue(aState, aPending);
@@ -473,16 +397,6 @@
   return true;
 }
 
-bool
-Dispatcher::OthersAreAvailable(const ServiceState& aState, const Pending& aPending) const
-{
-  const auto now = Now();
-  return std::any_of(
-    aState.servers_.begin(), aState.servers_.end(), [this, &aPending, now](const auto& aItem) {
-      return !aPending.tried_.contains(aItem.first) && IsAvailable(aItem.second, now);
-    });
-}
-
 void
 Dispatcher::Park(ServiceState& aState, const Pending& aPending)
 {
@@ -500,7 +414,8 @@
   std::vector<Parked> parked = std::exchange(aState.parked_, {});
   for (const Parked& item : parked) {
     Pending& pending = pending_.at(item.request_);
-    const std::vector<routing::Candidate> candidates = CandidatesFor(aState, pending);
+    const std::vector<routing::Candidate> candidates =
+      aState.servers_->CandidatesFor(pending.ticket_.route_.class_, pending.tried_);
     const auto chosen = Choose(candidates);
     if (chosen && !candidates[*chosen].tried_) {
       Send(aState, pending, candidates[*chosen].host_);
--- a/src/retry/Decision.cpp
+++ b/src/retry/Decision.cpp
@@ -32,4 +32,10 @@
   return Action::kGiveUp;
 }
 
+bool
+ShouldTryElsewhere(const Question& aQuestion, bool aOthersAreAvailable)
+{
+  return aQuestion.attempts_ == 1 && aOthersAreAvailable && Decide(aQuestion) != Action::kGiveUp;
+}
+
 } // namespace quetzal::retry
