--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/quetzal/cells/CellWriter.h"
+#include "include/quetzal/cells/Tickets.h"
 #include "include/quetzal/cells/Worker.h"
 #include "include/quetzal/fleet/Forecast.h"
 #include "include/quetzal/jobs/JobTable.h"
@@ -144,6 +145,8 @@
     bool rosterAsked_ = false;
     bool gone_ = false; ///< Its life is over; a successor need not ask it.
     double suspicion_ = 0;
+    int pace_ = 100; ///< Of filling tasks, in per cent.
+    clock::Moment pacedAt_{};
   };
 
   void Inherit(const Inheritance& aInheritance);
@@ -165,7 +168,7 @@
   void OnStartEnded(const jobs::TaskId& aTask, std::int64_t aRun, workers::OrderStatus aWhy);
   void OnFound(Row& aRow, const workers::RunningTask& aTask);
   void Judge(Row& aRow, jobs::EndKind aKind);
-  void LearnDuration(const jobs::Job& aJob, const jobs::TaskId& aTask, clock::Moment aPlacedAt);
+  void LearnDuration(jobs::Job& aJob, const jobs::TaskId& aTask, clock::Moment aPlacedAt);
 
   void KickPlacing();
   void PlaceAll();
@@ -188,10 +191,28 @@
                  const std::vector<Row*>& aRows,
                  clock::Moment aNow);
   void StartTask(jobs::Job& aJob, const jobs::TaskId& aTask, std::int64_t aRun, Row& aRow);
-  std::optional<std::string> TicketFor(const jobs::Job& aJob,
-                                       const jobs::TaskId& aTask,
-                                       const std::string& aWorker) const;
-  void AskAdvice(const jobs::Job& aJob, const std::string& aStep);
+  void AskTickets(const std::string& aStep);
+  std::string TicketFor(const jobs::TaskId& aTask, const std::string& aWorker) const;
+  void PlaceCopies(std::vector<placement::Candidate>& aCandidates,
+                   const std::vector<Row*>& aRows,
+                   clock::Moment aNow);
+  void CopyStragglers(jobs::Job& aJob,
+                      int aOccurrence,
+                      int aStep,
+                      std::vector<placement::Candidate>& aCandidates,
+                      const std::vector<Row*>& aRows,
+                      clock::Moment aNow);
+  bool MayCopy(const jobs::Job& aJob,
+               const jobs::StepState& aStep,
+               const jobs::StepSpec& aSpec,
+               const jobs::TaskState& aTask,
+               clock::Moment aNow) const;
+  workers::StartOrder OrderFor(jobs::Job& aJob,
+                               const jobs::TaskId& aTask,
+                               std::int64_t aRun,
+                               const std::string& aWorker);
+  void StopOtherRuns(const jobs::TaskId& aTask, std::int64_t aRun, const jobs::TaskState& aState);
+  void PaceFilling(Row& aRow);
 
   void StoreProgress(const jobs::Job& aJob, std::function<void()> aDone);
   void FlushProgress();
@@ -215,13 +236,7 @@
   std::map<std::string, std::vector<AnswerCallback>> submitting_; ///< Waiting for the store.
   std::map<std::string, std::vector<AnswerCallback>> cancelling_;
   std::map<std::string, std::vector<std::function<void()>>> progressWaiters_; ///< By job.
-  struct TicketRow
-  {
-    std::map<std::string, std::string> tickets_; ///< By worker.
-    clock::Moment expires_{};
-    bool asked_ = false;
-  };
-  std::map<std::string, TicketRow> advice_; ///< By step.
+  Tickets tickets_;
   std::set<std::string> closed_;
   int stuckVacates_ = 0; ///< Tasks that the last orders could not vacate for want of room.
   std::deque<fleet::Arrival> arrivals_;
--- a/include/quetzal/jobs/JobTable.h
+++ b/include/quetzal/jobs/JobTable.h
@@ -27,6 +27,9 @@
   std::set<std::int64_t> failedRuns_; ///< Runs that ended as failed; each counts once.
   std::string checkpoint_;
   std::string worker_;
+  std::int64_t copyRun_ = 0; ///< A second run of a step that allows copies; 0: none.
+  std::string copyWorker_;
+  clock::Moment copiedAt_{};
   bool leaving_ = false; ///< Its run is being ended so that it can start elsewhere.
   clock::Moment placedAt_{};
   clock::Moment notBefore_{}; ///< Not placed again before this moment.
@@ -36,6 +39,8 @@
 {
   std::vector<TaskState> tasks_;
   int done_ = 0;
+  int timed_ = 0;                     ///< Tasks whose duration is in doneTime_.
+  clock::Milliseconds doneTime_{ 0 }; ///< Durations of tasks that are done, added up.
 
   bool IsDone() const { return done_ == static_cast<int>(tasks_.size()); }
 };
@@ -116,7 +121,16 @@
       std::int64_t aRun,
       clock::Moment aNow);
 
-/** Marks a placed task as waiting again: its run did not happen, or is over without effect. */
+/** Marks a placed task as having a copy on a second worker. */
+void
+PlaceCopy(Job& aJob,
+          const TaskId& aTask,
+          const std::string& aWorker,
+          std::int64_t aRun,
+          clock::Moment aNow);
+
+/** Marks a placed task as waiting again: its run did not happen, or is over without effect. Where a
+ * task has a copy, the other run goes on as its only one. */
 void
 Unplace(Job& aJob, const TaskId& aTask, std::int64_t aRun, clock::Moment aNotBefore);
 
--- /dev/null
+++ b/include/quetzal/sharing/Pace.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+/** How fast tasks that use spare processor time may work beside tasks that serve users. */
+namespace quetzal::sharing {
+
+/** A serving task's response times, as its worker last told them. */
+struct ServingTask
+{
+  std::int64_t targetMs_ = 0;
+  std::int64_t tailMs_ = 0; ///< Tail of the last half second.
+
+  bool operator==(const ServingTask&) const = default;
+};
+
+/** Full speed, in per cent. */
+inline constexpr int kFullPace = 100;
+
+/** Returns the pace, in per cent, of all filling tasks on a worker until the next look at it. It
+ * answers a serving load that rises within a second: the pace is halved while any serving task is
+ * near its target, and returns step by step once all are well below. */
+int
+NextPace(int aPace, const std::vector<ServingTask>& aServing);
+
+} // namespace quetzal::sharing
--- a/include/quetzal/workers/Book.h
+++ b/include/quetzal/workers/Book.h
@@ -9,6 +9,9 @@
 
 namespace quetzal::workers {
 
+/** The pace of a run whose last order to change it was not confirmed. */
+inline constexpr int kUnknownPace = -1;
+
 /** How far one run on a worker is known to be. */
 enum class SlotState : std::uint8_t
 {
@@ -32,7 +35,7 @@
   clock::Moment barredAt_{};   ///< When the worker confirmed that the run will not start; or never.
   int progress_ = 0;           ///< Per cent, as last seen; a lasting task is at work at 100.
   int pace_ = 100; ///< The share of its speed at which it was last told to work, in per cent.
-  std::int64_t figure_ = 0;
+  std::int64_t figure_ = 0; ///< A serving task's tail in ms; otherwise processor use in millicores.
 };
 
 /** A worker's clock as read from its answers. It may be slow by kClockSlowness. */
@@ -84,4 +87,8 @@
 bool
 HasLasting(const Book& aBook);
 
+/** Tells whether tasks with a response time to keep run beside tasks that fill. */
+bool
+IsShared(const Book& aBook);
+
 } // namespace quetzal::workers
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -1,6 +1,8 @@
 #include "include/quetzal/cells/Cell.h"
 
 #include "include/quetzal/log/Log.h"
+#include "include/quetzal/placement/Speculation.h"
+#include "include/quetzal/sharing/Pace.h"
 
 #include <QtCore/QPointer>
 #include <algorithm>
@@ -18,6 +20,8 @@
 constexpr clock::Milliseconds kPlaceDelay{ 8 };
 constexpr clock::Milliseconds kHouseInterval{ 200 };
 constexpr clock::Milliseconds kBlindSlack{ 300 };
+/** Between two changes of a worker's pace; figures are means of half a second. */
+constexpr clock::Milliseconds kPaceInterval{ 400 };
 /** In which the roster is written without workers that have left. */
 constexpr clock::Milliseconds kRosterDelay{ 150 };
 /** How long a task waits after a worker refused its start. */
@@ -137,6 +141,7 @@
   , fence_(aFence)
   , nextRun_(aFence * kRunsPerOwner + 1)
   , writer_(*context_.store_, ChainKey(service_), aSelf, aFence, this)
+  , tickets_(context_.advice_, this)
   , begun_(Now())
 {
   placeTimer_.setSingleShot(true);
@@ -146,6 +151,7 @@
   connect(&houseTimer_, &QTimer::timeout, this, &Cell::Housekeep);
   connect(this, &Cell::Lost, this, [this] { lost_ = true; });
   connect(&writer_, &CellWriter::Lost, this, &Cell::Lost);
+  connect(&tickets_, &Tickets::Answered, this, &Cell::KickPlacing);
   connect(context_.feed_, &node::Feed::WorkersChanged, this, &Cell::SyncWorkers);
   connect(context_.feed_, &node::Feed::ConfigurationChanged, this, &Cell::KickPlacing);
   Inherit(aInheritance);
@@ -262,7 +268,10 @@
   const std::string id = aRegistration.id_;
   workers_[id].worker_ = worker;
   worker->SetClosed(closed_.contains(id));
-  connect(worker, &Worker::Looked, this, [this] {
+  connect(worker, &Worker::Looked, this, [this, id] {
+    if (const auto row = workers_.find(id); row != workers_.end()) {
+      PaceFilling(row->second);
+    }
     AskRoster();
     KickPlacing();
   });
@@ -498,13 +507,20 @@
 }
 
 void
-Cell::LearnDuration(const jobs::Job& aJob, const jobs::TaskId& aTask, clock::Moment aPlacedAt)
+Cell::LearnDuration(jobs::Job& aJob, const jobs::TaskId& aTask, clock::Moment aPlacedAt)
 {
   const jobs::StepSpec& spec = aJob.spec_.steps_.at(static_cast<std::size_t>(aTask.step_));
-  if (spec.lasting_ || spec.estimateMs_ <= 0) {
+  if (spec.lasting_) {
     return;
   }
   const double seconds = std::chrono::duration<double>(Now() - aPlacedAt).count();
+  jobs::StepState& step =
+    aJob.live_.at(aTask.occurrence_).steps_.at(static_cast<std::size_t>(aTask.step_));
+  ++step.timed_;
+  step.doneTime_ += std::chrono::duration_cast<clock::Milliseconds>(Now() - aPlacedAt);
+  if (spec.estimateMs_ <= 0) {
+    return;
+  }
   const double ratio = seconds * 1'000 / static_cast<double>(spec.estimateMs_);
   estimateBias_ += (std::clamp(ratio, 0.0, kMostBias) - estimateBias_) * kBiasWeight;
   estimateBias_ = std::clamp(estimateBias_, kLeastBias, kMostBias);
@@ -548,8 +564,11 @@
   }
   jobs::Job& job = found->second;
   if (const jobs::TaskState* task = jobs::FindTask(job, aTask);
-      task != nullptr && aKind == jobs::EndKind::kDone && task->run_ == aRun) {
-    LearnDuration(job, aTask, task->placedAt_);
+      task != nullptr && aKind == jobs::EndKind::kDone) {
+    if (task->run_ == aRun) {
+      LearnDuration(job, aTask, task->placedAt_);
+    }
+    StopOtherRuns(aTask, aRun, *task);
   }
   const jobs::EndEffect effect =
     jobs::ApplyEnd(job, aTask, aRun, aKind, aCheckpoint, MostAttempts(job));
@@ -579,7 +598,7 @@
             workers::ToString(aWhy));
   context_.metrics_->Add("quetzal_starts_ended_total", { { "why", workers::ToString(aWhy) } });
   if (aWhy == workers::OrderStatus::kNoTicket) {
-    advice_.erase(StepName(aTask.job_, aTask.occurrence_, aTask.step_));
+    tickets_.Expire(StepName(aTask.job_, aTask.occurrence_, aTask.step_));
   }
   const auto job = jobs_.find(aTask.job_);
   if (job != jobs_.end()) {
@@ -678,6 +697,7 @@
 Cell::FinishJob(jobs::Job& aJob, jobs::JobState aState, std::function<void()> aDone)
 {
   aJob.ending_ = true;
+  tickets_.ForgetJob(aJob.id_);
   jobs::CountWaiting(aJob);
   std::vector<std::function<void()>> done;
   if (auto waiters = progressWaiters_.extract(aJob.id_); !waiters.empty()) {
@@ -835,9 +855,10 @@
   for (jobs::Job* job : JobsInOrder(now)) {
     futile = PlaceJob(*job, candidates, rows, now) ? 0 : futile + 1;
     if (futile > kMostFutileJobs) {
-      break;
+      return;
     }
   }
+  PlaceCopies(candidates, rows, now);
 }
 
 bool
@@ -877,21 +898,23 @@
   if (spec.mostPerWorker_ > 0) {
     for (const jobs::TaskState& task : tasks) {
       for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-        use.tasksOn_[i] +=
-          task.phase_ == jobs::TaskPhase::kPlaced && task.worker_ == aCandidates[i].id_ ? 1 : 0;
+        const bool isOn = task.phase_ == jobs::TaskPhase::kPlaced &&
+                          (task.worker_ == aCandidates[i].id_ ||
+                           (task.copyRun_ != 0 && task.copyWorker_ == aCandidates[i].id_));
+        use.tasksOn_[i] += isOn ? 1 : 0;
       }
     }
   }
   const jobs::Queue* queue = jobs::FindQueueByName(context_.feed_->Configuration(), aJob.queue_);
   if (queue != nullptr && queue->advice_) {
     const std::string step = StepName(aJob.id_, aOccurrence, aStep);
-    const auto row = advice_.find(step);
-    if (row == advice_.end() || row->second.expires_ < aNow) {
-      AskAdvice(aJob, step);
+    const Tickets::ByWorker* tickets = tickets_.Find(step, aNow);
+    if (tickets == nullptr) {
+      AskTickets(step);
       return 0;
     }
     for (const placement::Candidate& candidate : aCandidates) {
-      use.barredOn_.push_back(!row->second.tickets_.contains(candidate.id_));
+      use.barredOn_.push_back(!tickets->contains(candidate.id_));
     }
   }
   int placed = 0;
@@ -909,6 +932,9 @@
     StartTask(aJob, { aJob.id_, aOccurrence, aStep, i }, nextRun_++, *aRows[*chosen]);
     ++placed;
   }
+  if (!use.barredOn_.empty() && aJob.waiting_ > 0) {
+    AskTickets(StepName(aJob.id_, aOccurrence, aStep)); // Workers that have come since may do.
+  }
   return placed;
 }
 
@@ -945,14 +971,8 @@
 Cell::StartTask(jobs::Job& aJob, const jobs::TaskId& aTask, std::int64_t aRun, Row& aRow)
 {
   const jobs::StepSpec& spec = aJob.spec_.steps_.at(static_cast<std::size_t>(aTask.step_));
-  const jobs::TaskState* task = jobs::FindTask(aJob, aTask);
   const std::string worker = aRow.worker_->Registration().id_;
-  workers::StartOrder order;
-  order.task_ = aTask;
-  order.run_ = aRun;
-  order.payload_ = aJob.spec_.payload_;
-  order.checkpoint_ = task == nullptr ? std::string() : task->checkpoint_;
-  order.ticket_ = TicketFor(aJob, aTask, worker).value_or("");
+  const workers::StartOrder order = OrderFor(aJob, aTask, aRun, worker);
   if (!aJob.begun_) {
     context_.metrics_->Observe(
       "quetzal_job_wait_seconds", { { "service", service_ } }, Now() - aJob.arrived_);
@@ -973,49 +993,201 @@
   aRow.worker_->Start(order, MakeSlot(spec, aRun, workers::SlotState::kOrdered));
 }
 
-std::optional<std::string>
-Cell::TicketFor(const jobs::Job& aJob, const jobs::TaskId& aTask, const std::string& aWorker) const
+workers::StartOrder
+Cell::OrderFor(jobs::Job& aJob,
+               const jobs::TaskId& aTask,
+               std::int64_t aRun,
+               const std::string& aWorker)
 {
-  const auto row = advice_.find(StepName(aJob.id_, aTask.occurrence_, aTask.step_));
-  if (row == advice_.end()) {
-    return std::nullopt;
+  const jobs::TaskState* task = jobs::FindTask(aJob, aTask);
+  workers::StartOrder order;
+  order.task_ = aTask;
+  order.run_ = aRun;
+  order.payload_ = aJob.spec_.payload_;
+  order.checkpoint_ = task == nullptr ? std::string() : task->checkpoint_;
+  order.ticket_ = TicketFor(aTask, aWorker);
+  return order;
+}
+
+std::string
+Cell::TicketFor(const jobs::TaskId& aTask, const std::string& aWorker) const
+{
+  const std::string step = StepName(aTask.job_, aTask.occurrence_, aTask.step_);
+  const Tickets::ByWorker* tickets = tickets_.Find(step, Now());
+  if (tickets == nullptr) {
+    return {};
   }
-  const auto ticket = row->second.tickets_.find(aWorker);
-  return ticket == row->second.tickets_.end() ? std::nullopt : std::optional(ticket->second);
+  const auto ticket = tickets->find(aWorker);
+  return ticket == tickets->end() ? std::string() : ticket->second;
 }
 
 void
-Cell::AskAdvice(const jobs::Job& aJob, const std::string& aStep)
+Cell::AskTickets(const std::string& aStep)
 {
-  TicketRow& row = advice_[aStep];
-  if (row.asked_ || context_.advice_ == nullptr) {
-    return;
-  }
-  row.asked_ = true;
   std::vector<std::string> ids;
-  for (const auto& [id, worker] : workers_) {
-    if (worker.worker_->IsOpen() && ids.size() < workers::kMostAdviceWorkers) {
+  for (const auto& [id, row] : workers_) {
+    if (row.worker_->IsOpen()) {
       ids.push_back(id);
     }
   }
-  log::Info("cell", "event=advice-asked job=", aJob.id_, " step=", aStep, " workers=", ids.size());
-  const QPointer<Cell> self(this);
-  const clock::Moment askedAt = Now();
-  context_.advice_->Ask(aStep, ids, [self, aStep, askedAt](const workers::Advice& aAdvice) {
-    if (!self) {
+  tickets_.Ask(aStep, ids, Now());
+}
+
+// --- Copies --------------------------------------------------------------------------------------
+
+void
+Cell::PlaceCopies(std::vector<placement::Candidate>& aCandidates,
+                  const std::vector<Row*>& aRows,
+                  clock::Moment aNow)
+{
+  for (auto& [id, job] : jobs_) {
+    if (job.placed_ == 0 || !job.stored_ || job.ending_ || job.lasting_) {
+      continue;
+    }
+    for (const auto& [index, occurrence] : job.live_) {
+      for (int s = 0; s < static_cast<int>(occurrence.steps_.size()); ++s) {
+        const jobs::StepSpec& spec = job.spec_.steps_.at(static_cast<std::size_t>(s));
+        if (spec.speculative_ && !spec.gang_) {
+          CopyStragglers(job, index, s, aCandidates, aRows, aNow);
+        }
+      }
+    }
+  }
+}
+
+bool
+Cell::MayCopy(const jobs::Job& aJob,
+              const jobs::StepState& aStep,
+              const jobs::StepSpec& aSpec,
+              const jobs::TaskState& aTask,
+              clock::Moment aNow) const
+{
+  if (aTask.phase_ != jobs::TaskPhase::kPlaced || aTask.copyRun_ != 0) {
+    return false;
+  }
+  const int most = MostAttempts(aJob);
+  if (most > 0 && static_cast<int>(aTask.failedRuns_.size()) + 1 >= most) {
+    return false; // Both runs might fail, and one more than may be would have been started.
+  }
+  placement::RunSoFar run;
+  run.age_ = std::chrono::duration_cast<clock::Milliseconds>(aNow - aTask.placedAt_);
+  run.estimate_ = clock::Milliseconds(
+    static_cast<std::int64_t>(static_cast<double>(aSpec.estimateMs_) * estimateBias_));
+  run.siblings_ = static_cast<int>(aStep.tasks_.size());
+  run.siblingsDone_ = aStep.timed_;
+  run.siblingTime_ = aStep.doneTime_ / std::max(aStep.timed_, 1);
+  return placement::IsStraggler(run);
+}
+
+void
+Cell::CopyStragglers(jobs::Job& aJob,
+                     int aOccurrence,
+                     int aStep,
+                     std::vector<placement::Candidate>& aCandidates,
+                     const std::vector<Row*>& aRows,
+                     clock::Moment aNow)
+{
+  const jobs::StepSpec& spec = aJob.spec_.steps_.at(static_cast<std::size_t>(aStep));
+  jobs::StepState& step = aJob.live_.at(aOccurrence).steps_.at(static_cast<std::size_t>(aStep));
+  for (int i = 0; i < static_cast<int>(step.tasks_.size()); ++i) {
+    const jobs::TaskState& task = step.tasks_[static_cast<std::size_t>(i)];
+    if (!MayCopy(aJob, step, spec, task, aNow)) {
+      continue;
+    }
+    const jobs::TaskId id{ aJob.id_, aOccurrence, aStep, i };
+    const jobs::Queue* queue = jobs::FindQueueByName(context_.feed_->Configuration(), aJob.queue_);
+    const bool needsTicket = queue != nullptr && queue->advice_;
+    placement::StepUse use;
+    use.tasksOn_.assign(aCandidates.size(), 0);
+    for (std::size_t c = 0; c < aCandidates.size(); ++c) {
+      const std::string& worker = aCandidates[c].id_;
+      use.barredOn_.push_back(worker == task.worker_ ||
+                              (needsTicket && TicketFor(id, worker).empty()));
+      for (const jobs::TaskState& other : step.tasks_) {
+        const bool isOn = other.phase_ == jobs::TaskPhase::kPlaced &&
+                          (other.worker_ == worker || other.copyWorker_ == worker);
+        use.tasksOn_[c] += isOn ? 1 : 0;
+      }
+    }
+    const auto chosen = placement::ChooseWorker(spec, aCandidates, use);
+    if (!chosen) {
       return;
     }
-    TicketRow& answered = self->advice_[aStep];
-    answered.asked_ = false;
-    if (aAdvice.answered_) {
-      answered.expires_ = askedAt + aAdvice.validity_;
-      answered.tickets_.clear();
-      for (const workers::Ticket& ticket : aAdvice.tickets_) {
-        answered.tickets_[ticket.worker_] = ticket.ticket_;
+    placement::Reserve(aCandidates[*chosen], spec);
+    Row& row = *aRows[*chosen];
+    const std::string worker = row.worker_->Registration().id_;
+    const std::int64_t run = nextRun_++;
+    log::Info("cell",
+              "event=task-copied cell=",
+              service_,
+              " task=",
+              jobs::ToString(id),
+              " run=",
+              run,
+              " worker=",
+              worker,
+              " beside=",
+              task.worker_);
+    context_.metrics_->Add("quetzal_copies_total", { { "service", service_ } });
+    const workers::StartOrder order = OrderFor(aJob, id, run, worker);
+    jobs::PlaceCopy(aJob, id, worker, run, aNow);
+    row.worker_->Start(order, MakeSlot(spec, run, workers::SlotState::kOrdered));
+  }
+}
+
+void
+Cell::StopOtherRuns(const jobs::TaskId& aTask, std::int64_t aRun, const jobs::TaskState& aState)
+{
+  const std::array<std::pair<std::int64_t, std::string>, 2> runs{
+    { { aState.run_, aState.worker_ }, { aState.copyRun_, aState.copyWorker_ } }
+  };
+  for (const auto& [run, worker] : runs) {
+    const auto row = workers_.find(worker);
+    if (run != 0 && run != aRun && row != workers_.end()) {
+      row->second.worker_->Stop(aTask);
+    }
+  }
+}
+
+// --- Sharing -------------------------------------------------------------------------------------
+
+void
+Cell::PaceFilling(Row& aRow)
+{
+  const workers::Book& book = aRow.worker_->Book();
+  if (!workers::IsShared(book)) {
+    aRow.pace_ = sharing::kFullPace;
+  } else if (Now() - aRow.pacedAt_ >= kPaceInterval) {
+    std::vector<sharing::ServingTask> serving;
+    for (const auto& [task, slot] : book.slots_) {
+      if (slot.targetMs_ > 0) {
+        serving.push_back({ slot.targetMs_, slot.figure_ });
       }
     }
-    self->KickPlacing();
-  });
+    aRow.pacedAt_ = Now();
+    const int pace = sharing::NextPace(aRow.pace_, serving);
+    if (pace != aRow.pace_) {
+      log::Info("cell",
+                "event=pace cell=",
+                service_,
+                " worker=",
+                aRow.worker_->Registration().id_,
+                " from=",
+                aRow.pace_,
+                " to=",
+                pace);
+    }
+    aRow.pace_ = pace;
+  }
+  std::vector<jobs::TaskId> toPace;
+  for (const auto& [task, slot] : book.slots_) {
+    if (slot.fills_ && slot.state_ == workers::SlotState::kRunning && slot.pace_ != aRow.pace_) {
+      toPace.push_back(task);
+    }
+  }
+  for (const jobs::TaskId& task : toPace) {
+    aRow.worker_->Pace(task, aRow.pace_);
+  }
 }
 
 // --- The fleet -----------------------------------------------------------------------------------
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -21,6 +21,10 @@
 /** How long a worker that refused an order for its own reasons is left alone. */
 constexpr clock::Milliseconds kUnhealthyPause{ 700 };
 
+/** Where tasks that serve share a worker with tasks that fill, their figures are read this often.
+ */
+constexpr clock::Milliseconds kSharedLookWait{ 400 };
+
 } // namespace
 
 Worker::Worker(const workers::Registration& aRegistration,
@@ -193,8 +197,15 @@
 {
   const auto slot = book_.slots_.find(aTask);
   if (slot != book_.slots_.end()) {
+    const std::int64_t run = slot->second.run_;
     slot->second.pace_ = aPercent;
-    port_->Pace(aTask, slot->second.run_, aPercent, fence_, [](const auto& /*aReply*/) {});
+    port_->Pace(aTask, run, aPercent, fence_, [this, aTask, run](const auto& aReply) {
+      const auto row = book_.slots_.find(aTask);
+      if (aReply.status_ != workers::OrderStatus::kAccepted && row != book_.slots_.end() &&
+          row->second.run_ == run) {
+        row->second.pace_ = workers::kUnknownPace;
+      }
+    });
   }
 }
 
@@ -265,6 +276,9 @@
       workers::ClockAt(book_, now) + static_cast<std::int64_t>(times_.lease_.count());
     book_.grantedMs_ = std::max(book_.grantedMs_, *order.deadlineMs_);
     order.wait_ = book_.unrecorded_.empty() ? kLookWait : kLookWait / 10;
+    if (workers::IsShared(book_)) {
+      order.wait_ = std::min(order.wait_, kSharedLookWait);
+    }
   }
   port_->Hold(order, [this, now](const workers::Look& aLook) { OnLook(aLook, now); });
 }
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -267,11 +267,39 @@
   }
 }
 
+void
+PlaceCopy(Job& aJob,
+          const TaskId& aTask,
+          const std::string& aWorker,
+          std::int64_t aRun,
+          clock::Moment aNow)
+{
+  TaskState* task = FindTask(aJob, aTask);
+  if (task != nullptr && task->phase_ == TaskPhase::kPlaced) {
+    task->copyRun_ = aRun;
+    task->copyWorker_ = aWorker;
+    task->copiedAt_ = aNow;
+  }
+}
+
 void
 Unplace(Job& aJob, const TaskId& aTask, std::int64_t aRun, clock::Moment aNotBefore)
 {
   TaskState* task = FindTask(aJob, aTask);
-  if (task == nullptr || task->phase_ != TaskPhase::kPlaced || task->run_ != aRun) {
+  if (task == nullptr || task->phase_ != TaskPhase::kPlaced) {
+    return;
+  }
+  if (task->copyRun_ != 0 && (aRun == task->copyRun_ || aRun == task->run_)) {
+    if (aRun == task->run_) {
+      task->run_ = task->copyRun_;
+      task->worker_ = task->copyWorker_;
+      task->placedAt_ = task->copiedAt_;
+    }
+    task->copyRun_ = 0;
+    task->copyWorker_.clear();
+    return;
+  }
+  if (task->run_ != aRun) {
     return;
   }
   task->phase_ = TaskPhase::kWaiting;
--- a/src/workers/Book.cpp
+++ b/src/workers/Book.cpp
@@ -91,4 +91,16 @@
   });
 }
 
+bool
+IsShared(const Book& aBook)
+{
+  bool serves = false;
+  bool fills = false;
+  for (const auto& [task, slot] : aBook.slots_) {
+    serves = serves || slot.targetMs_ > 0;
+    fills = fills || slot.fills_;
+  }
+  return serves && fills;
+}
+
 } // namespace quetzal::workers
--- a/tests/unit/FakeWorkers.cpp
+++ b/tests/unit/FakeWorkers.cpp
@@ -68,12 +68,18 @@
     QTimer::singleShot(0, this, [aDone, look] { aDone(look); });
   }
 
-  void Pace(const jobs::TaskId& /*aTask*/,
+  void Pace(const jobs::TaskId& aTask,
             std::int64_t /*aRun*/,
-            int /*aPercent*/,
+            int aPercent,
             std::int64_t /*aFence*/,
             std::function<void(const workers::OrderReply&)> aDone) override
   {
+    if (!worker_.reachable_ || worker_.lostPaces_ > 0) {
+      worker_.lostPaces_ = std::max(0, worker_.lostPaces_ - 1);
+      QTimer::singleShot(kSilence, this, [aDone] { aDone({}); });
+      return;
+    }
+    worker_.paces_[aTask] = aPercent;
     Answer({ workers::OrderStatus::kAccepted, FakeWorker::ClockMs() }, aDone);
   }
 
@@ -108,6 +114,9 @@
   if (aOrder.deadlineMs_ < clock) {
     return { workers::OrderStatus::kLate, clock };
   }
+  if (wantsTicket_ && aOrder.ticket_ != "ticket-" + id_) {
+    return { workers::OrderStatus::kNoTicket, clock };
+  }
   const auto bar = barred_.find(aOrder.task_);
   if (bar != barred_.end() && aOrder.run_ <= bar->second) {
     return { workers::OrderStatus::kSuperseded, clock };
@@ -149,7 +158,9 @@
   look.status_ = workers::OrderStatus::kAccepted;
   for (auto& [task, run] : running_) {
     run.leaseEndMs_ = std::max(run.leaseEndMs_, aOrder.deadlineMs_.value_or(0));
-    look.running_.push_back({ task, run.run_, {}, 100, 0 });
+    const auto figure = figures_.find(task);
+    look.running_.push_back(
+      { task, run.run_, {}, 100, figure == figures_.end() ? 0 : figure->second });
   }
   look.ended_ = ended_;
   return look;
@@ -211,6 +222,23 @@
   return runs;
 }
 
+void
+FakeAdvice::Ask(const std::string& aStep,
+                const std::vector<std::string>& aWorkers,
+                std::function<void(const workers::Advice&)> aDone)
+{
+  questions_.emplace_back(aStep, aWorkers);
+  workers::Advice advice;
+  advice.answered_ = answers_;
+  advice.validity_ = validity_;
+  for (const std::string& worker : aWorkers) {
+    if (good_.contains(worker)) {
+      advice.tickets_.push_back({ worker, "ticket-" + worker });
+    }
+  }
+  QTimer::singleShot(0, [aDone, advice] { aDone(advice); });
+}
+
 void
 FakeFeed::Register(const std::string& aId, const std::string& aService, std::int64_t aCpu)
 {
--- a/tests/unit/FakeWorkers.h
+++ b/tests/unit/FakeWorkers.h
@@ -4,6 +4,7 @@
 #include "include/quetzal/workers/WorkerPort.h"
 
 #include <deque>
+#include <set>
 
 namespace quetzal::test {
 
@@ -55,6 +56,10 @@
   std::vector<std::pair<jobs::TaskId, std::int64_t>> starts_; ///< Every run that has begun.
   std::vector<workers::StartOrder> late_;
   std::deque<OrderFate> startFates_;
+  bool wantsTicket_ = false;
+  int lostPaces_ = 0;                            ///< Orders to change the pace that get no answer.
+  std::map<jobs::TaskId, int> paces_;            ///< As last ordered, in per cent.
+  std::map<jobs::TaskId, std::int64_t> figures_; ///< What looks say of a task.
 };
 
 /** Ports to workers by id. Answers come from the event loop. */
@@ -72,6 +77,20 @@
   std::map<std::string, std::unique_ptr<FakeWorker>> workers_;
 };
 
+/** A service that gives tickets for some workers. */
+class FakeAdvice : public workers::AdvicePort
+{
+public:
+  void Ask(const std::string& aStep,
+           const std::vector<std::string>& aWorkers,
+           std::function<void(const workers::Advice&)> aDone) override;
+
+  std::set<std::string> good_;
+  bool answers_ = true;
+  std::chrono::milliseconds validity_{ 60'000 };
+  std::vector<std::pair<std::string, std::vector<std::string>>> questions_; ///< Step and workers.
+};
+
 /** A feed that the test writes. */
 class FakeFeed : public node::Feed
 {
