--- a/tests/harness/JobsDeployment.cpp
+++ b/tests/harness/JobsDeployment.cpp
@@ -209,6 +209,13 @@
   return lines;
 }
 
+std::int64_t
+JobsDeployment::CountOf(const std::string& aWord)
+{
+  const std::vector<std::string> lines = Record(aWord + " ");
+  return lines.empty() ? 0 : std::stoll(lines.front().substr(aWord.size() + 1));
+}
+
 int
 JobsDeployment::StartsOf(const std::string& aId)
 {
--- a/tests/harness/JobsDeployment.h
+++ b/tests/harness/JobsDeployment.h
@@ -36,6 +36,8 @@
   void Control(const std::string& aTarget);
   /** Returns the lines of the stand-in's record that begin with a word. */
   std::vector<std::string> Record(const std::string& aWord);
+  /** Returns a count of the stand-in's record, such as "looks". */
+  std::int64_t CountOf(const std::string& aWord);
   /** Returns how many runs of a job's tasks have begun. */
   int StartsOf(const std::string& aId);
 
--- a/tests/harness/Process.cpp
+++ b/tests/harness/Process.cpp
@@ -3,6 +3,8 @@
 #include <QtCore/QFile>
 #include <QtCore/QStringList>
 #include <csignal>
+#include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <unistd.h>
 
@@ -85,6 +87,25 @@
   return parts.value(1).toLongLong() * ::sysconf(_SC_PAGESIZE);
 }
 
+std::chrono::milliseconds
+Process::ProcessorTime() const
+{
+  std::ifstream file("/proc/" + std::to_string(Id()) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  // The name, in brackets, may hold spaces; user and system ticks are fields 14 and 15.
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  constexpr int kUserField = 14;
+  constexpr int kFirstField = 3;
+  std::string skipped;
+  for (int i = kFirstField; i < kUserField; ++i) {
+    fields >> skipped;
+  }
+  std::int64_t user = 0;
+  std::int64_t system = 0;
+  fields >> user >> system;
+  return std::chrono::milliseconds((user + system) * 1'000 / ::sysconf(_SC_CLK_TCK));
+}
+
 CommandResult
 Run(const std::string& aBinary, const std::vector<std::string>& aArguments)
 {
--- a/tests/harness/Process.h
+++ b/tests/harness/Process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <QtCore/QProcess>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -28,6 +29,9 @@
   /** Returns the resident memory in bytes. */
   std::int64_t ResidentBytes() const;
 
+  /** Returns the processor time used so far. */
+  std::chrono::milliseconds ProcessorTime() const;
+
 private:
   std::unique_ptr<QProcess> process_;
 };
