--- a/src/http/Reader.cpp
+++ b/src/http/Reader.cpp
@@ -52,20 +52,28 @@
 }
 
 /** Puts bytes into a parser until it is done, fails or has used them up. The parser is not eager:
- * an eager one goes on into the body although the header has failed the body's limit. */
+ * an eager one goes on into the body although the header has failed the body's limit.
+ * @param aHeaderRoom bytes that the header may still have. The parser's own limit does not hold for
+ * a header that arrives at once. */
 template<typename Parser>
 ReadState
-Put(Parser& aParser, QByteArray& aBytes, ReadError& aError)
+Put(Parser& aParser, QByteArray& aBytes, ReadError& aError, std::size_t& aHeaderRoom)
 {
   while (!aParser.is_done()) {
     if (aBytes.isEmpty()) {
       return ReadState::kNeedsMore;
     }
     boost::system::error_code error;
+    const bool inHeader = !aParser.is_header_done();
     const std::size_t used = aParser.put(
       boost::asio::const_buffer(aBytes.constData(), static_cast<std::size_t>(aBytes.size())),
       error);
     aBytes.remove(0, static_cast<qsizetype>(used));
+    if (inHeader && used > aHeaderRoom) {
+      aError = ReadError::kHeaderTooLarge;
+      return ReadState::kFailed;
+    }
+    aHeaderRoom -= inHeader ? used : 0;
     if (error == beast_http::error::need_more) {
       return ReadState::kNeedsMore;
     }
@@ -94,6 +102,7 @@
   {
     parser_.emplace();
     parser_->header_limit(limits_.headerBytes_);
+    headerRoom_ = limits_.headerBytes_;
     parser_->body_limit(limits_.bodyBytes_);
     continued_ = false;
   }
@@ -101,6 +110,7 @@
   Limits limits_;
   std::optional<Parser> parser_;
   ReadError error_ = ReadError::kNone;
+  std::size_t headerRoom_ = 0;
   bool continued_ = false;
 };
 
@@ -116,7 +126,7 @@
 ReadState
 RequestReader::Feed(QByteArray& aBytes)
 {
-  return Put(*state_->parser_, aBytes, state_->error_);
+  return Put(*state_->parser_, aBytes, state_->error_, state_->headerRoom_);
 }
 
 Request
@@ -159,6 +169,7 @@
     parser_.emplace();
     parser_->skip(toHead_);
     parser_->header_limit(limits_.headerBytes_);
+    headerRoom_ = limits_.headerBytes_;
     parser_->body_limit(limits_.bodyBytes_);
   }
 
@@ -167,6 +178,7 @@
   bool begun_ = false;
   std::optional<Parser> parser_;
   ReadError error_ = ReadError::kNone;
+  std::size_t headerRoom_ = 0;
 };
 
 ResponseReader::ResponseReader(const Limits& aLimits, bool aToHead)
@@ -184,7 +196,7 @@
 {
   state_->begun_ = state_->begun_ || !aBytes.isEmpty();
   for (;;) {
-    const ReadState result = Put(*state_->parser_, aBytes, state_->error_);
+    const ReadState result = Put(*state_->parser_, aBytes, state_->error_, state_->headerRoom_);
     const bool unframed =
       state_->parser_->is_header_done() && state_->parser_->need_eof() && !state_->toHead_;
     if (result != ReadState::kFailed && unframed) {
--- /dev/null
+++ b/tests/fuzz/Reader.cpp
@@ -0,0 +1,222 @@
+/** fuzz-reader: feeds changed messages to http::RequestReader and http::ResponseReader, by seed.
+ * Each message is read whole and in pieces; both must come to the same end, within the reader's
+ * limits. */
+
+#include "include/quetzal/http/Reader.h"
+
+#include <QtCore/QByteArray>
+#include <array>
+#include <iostream>
+#include <random>
+#include <sstream>
+#include <tclap/CmdLine.h>
+
+namespace {
+
+using namespace quetzal::http;
+
+constexpr Limits kLimits{ 512, 256 };
+/** What stays unread after a request that is complete belongs to the next one; this many are read.
+ */
+constexpr int kMostMessages = 8;
+
+const std::array kRequests{
+  "GET /a HTTP/1.1\r\nHost: a\r\n\r\n",
+  "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello",
+  "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+  "POST /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok",
+  "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close, x-b\r\nX-B: c\r\n\r\n",
+  "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+  "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+  "GET /a HTTP/1.1\r\nHost: a\r\n\r\nGET /b HTTP/1.1\r\nHost: b\r\n\r\n",
+};
+
+const std::array kResponses{
+  "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+  "HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+};
+
+const std::array kPieces{
+  "\r\n", "\r\n\r\n", ":", " ",    "0",        "chunked", "Content-Length: 7\r\n",
+  "\n",   "\0",       ",", "\xff", "ffffffff", ";a=b",    "Transfer-Encoding: x\r\n"
+};
+
+/** How the reading of a stream has ended. */
+struct End
+{
+  std::vector<std::string> messages_; ///< Every complete message, written out again.
+  ReadState state_ = ReadState::kNeedsMore;
+};
+
+class Fuzz
+{
+public:
+  explicit Fuzz(unsigned aSeed)
+    : random_(aSeed)
+  {
+  }
+
+  /** @return what is wrong; empty where nothing is. */
+  std::string RunOnce()
+  {
+    const bool isRequest = Draw(3) != 0;
+    const QByteArray bytes =
+      Change(isRequest ? kRequests[Draw(kRequests.size())] : kResponses[Draw(kResponses.size())]);
+    const End whole =
+      isRequest ? ReadRequests(bytes, bytes.size()) : ReadResponse(bytes, bytes.size());
+    const qsizetype piece = 1 + static_cast<qsizetype>(Draw(40));
+    const End pieces = isRequest ? ReadRequests(bytes, piece) : ReadResponse(bytes, piece);
+    // A header that is wrong may be found so at its end only: then the shorter pieces leave it
+    // unfinished. What is complete must not depend on the pieces.
+    const bool differs = whole.state_ != pieces.state_ && (whole.state_ == ReadState::kComplete ||
+                                                           pieces.state_ == ReadState::kComplete);
+    if (differs || whole.messages_ != pieces.messages_) {
+      return "read whole it ends " + Show(whole) + ", in pieces of " + std::to_string(piece) + " " +
+             Show(pieces) + ": " + Show(bytes);
+    }
+    for (const std::string& message : whole.messages_) {
+      if (message.size() > kLimits.headerBytes_ + kLimits.bodyBytes_ + kSerializeSlack) {
+        return "a message is over the limits: " + Show(bytes);
+      }
+    }
+    return isRequest ? CheckAgain(whole) : std::string();
+  }
+
+private:
+  static constexpr std::size_t kSerializeSlack = 64; ///< Framing that Serialize adds.
+
+  std::size_t Draw(std::size_t aBelow)
+  {
+    return std::uniform_int_distribution<std::size_t>(0, aBelow - 1)(random_);
+  }
+
+  QByteArray Change(const char* aMessage)
+  {
+    QByteArray bytes(aMessage);
+    for (std::size_t changes = Draw(6); changes > 0 && !bytes.isEmpty(); --changes) {
+      const auto at = static_cast<qsizetype>(Draw(static_cast<std::size_t>(bytes.size())));
+      switch (Draw(5)) {
+        case 0:
+          bytes[at] = static_cast<char>(Draw(256));
+          break;
+        case 1:
+          bytes.remove(at, 1 + static_cast<qsizetype>(Draw(8)));
+          break;
+        case 2:
+          bytes.insert(at, kPieces[Draw(kPieces.size())]);
+          break;
+        case 3:
+          bytes.insert(at, bytes.mid(at, static_cast<qsizetype>(Draw(60))));
+          break;
+        default:
+          bytes.insert(at, QByteArray(static_cast<qsizetype>(Draw(700)), 'x'));
+          break;
+      }
+    }
+    return bytes;
+  }
+
+  /** Returns what a backend server is sent for a request. */
+  static std::string Forwarded(Request aRequest)
+  {
+    aRequest.fields_ = EndToEndFields(aRequest.fields_);
+    aRequest.keepAlive_ = true;
+    return Serialize(aRequest);
+  }
+
+  static End ReadRequests(const QByteArray& aBytes, qsizetype aPiece)
+  {
+    End end;
+    RequestReader reader(kLimits);
+    QByteArray pending;
+    for (qsizetype at = 0; at < aBytes.size(); at += aPiece) {
+      pending += aBytes.mid(at, aPiece);
+      end.state_ = reader.Feed(pending);
+      while (end.state_ == ReadState::kComplete && end.messages_.size() < kMostMessages) {
+        end.messages_.push_back(Forwarded(reader.Take()));
+        end.state_ = reader.Feed(pending);
+      }
+      if (end.state_ != ReadState::kNeedsMore) {
+        break;
+      }
+    }
+    return end;
+  }
+
+  static End ReadResponse(const QByteArray& aBytes, qsizetype aPiece)
+  {
+    End end;
+    ResponseReader reader(kLimits, false);
+    QByteArray pending;
+    for (qsizetype at = 0; at < aBytes.size() && end.state_ == ReadState::kNeedsMore;
+         at += aPiece) {
+      pending += aBytes.mid(at, aPiece);
+      end.state_ = reader.Feed(pending);
+    }
+    if (end.state_ == ReadState::kComplete) {
+      const Response response = reader.Take();
+      end.messages_.push_back(std::to_string(response.status_) + response.body_);
+    }
+    return end;
+  }
+
+  /** A request that was accepted and written out again must be read as the same single request:
+   * what a backend server sees is what was checked. */
+  static std::string CheckAgain(const End& aEnd)
+  {
+    for (const std::string& message : aEnd.messages_) {
+      const auto bytes = QByteArray::fromStdString(message);
+      RequestReader reader({ 4 * kLimits.headerBytes_, 4 * kLimits.bodyBytes_ });
+      QByteArray pending = bytes;
+      if (reader.Feed(pending) != ReadState::kComplete || !pending.isEmpty()) {
+        return "written out it is another request: " + Show(bytes);
+      }
+      if (Forwarded(reader.Take()) != message) {
+        return "written out twice it differs: " + Show(bytes);
+      }
+    }
+    return {};
+  }
+
+  static std::string Show(const End& aEnd)
+  {
+    static constexpr std::array kStates{ "unfinished", "complete", "failed" };
+    return std::string(kStates[static_cast<std::size_t>(aEnd.state_)]) + " after " +
+           std::to_string(aEnd.messages_.size());
+  }
+
+  static std::string Show(const QByteArray& aBytes)
+  {
+    return aBytes.toPercentEncoding().toStdString();
+  }
+
+  std::mt19937 random_;
+};
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    TCLAP::CmdLine line("Feeds changed messages to the HTTP readers.", ' ', "0.1.0");
+    TCLAP::ValueArg<unsigned> seed("s", "seed", "First seed", false, 1, "number", line);
+    TCLAP::ValueArg<unsigned> runs("r", "runs", "Number of seeds", false, 20'000, "number", line);
+    line.parse(aCount, aArguments);
+    for (unsigned i = 0; i < runs.getValue(); ++i) {
+      const std::string wrong = Fuzz(seed.getValue() + i).RunOnce();
+      if (!wrong.empty()) {
+        std::cout << "seed " << seed.getValue() + i << ": " << wrong << '\n';
+        return 1;
+      }
+    }
+    std::cout << runs.getValue() << " messages read\n";
+    return 0;
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << '\n';
+    return 2;
+  }
+}
--- a/tests/unit/ReaderTest.cpp
+++ b/tests/unit/ReaderTest.cpp
@@ -42,6 +42,22 @@
   BOOST_CHECK(FeedInPieces(reader, bytes, bytes.size()) == ReadState::kFailed);
 }
 
+BOOST_AUTO_TEST_CASE(RequestReader_HeaderOverTheLimit_FailsInWhateverPiecesItArrives)
+{
+  const QByteArray bytes = "GET /" + QByteArray(1'100, 'x') + " HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (const qsizetype piece : { qsizetype{ 7 }, qsizetype{ 100 }, bytes.size() }) {
+    RequestReader reader(kLimits);
+    QByteArray pending;
+    ReadState state = ReadState::kNeedsMore;
+    for (qsizetype at = 0; at < bytes.size() && state == ReadState::kNeedsMore; at += piece) {
+      pending += bytes.mid(at, piece);
+      state = reader.Feed(pending);
+    }
+    BOOST_CHECK(state == ReadState::kFailed);
+    BOOST_CHECK(reader.Error() == ReadError::kHeaderTooLarge);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ResponseReader_WithoutFraming_Fails)
 {
   ResponseReader reader(kLimits, false);
