--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -53,7 +53,7 @@
   LeaseTimes times_;
   TenureClock tenure_;
   clock::Milliseconds retention_{ 120'000 }; ///< Ended jobs are shown at least this long.
-  clock::Milliseconds awayNotice_{ 4'500 };  ///< A task taken away counts as away this long.
+  clock::Milliseconds moveTime_{ 1'500 };    ///< Until a host that is drawn now has come.
 };
 
 /** What the previous owner left, read after it could write no more. */
--- a/include/quetzal/fleet/MachinePort.h
+++ b/include/quetzal/fleet/MachinePort.h
@@ -33,6 +33,7 @@
 struct MachineList
 {
   bool complete_ = false;
+  int reads_ = 0; ///< Calls that it took.
   std::vector<Machine> machines_;
 };
 
--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -16,6 +16,7 @@
   clock::Milliseconds orderGap_{ 3'000 }; ///< From the takeover until the first order.
   clock::Milliseconds maintenanceTime_{ 2'000 };
   double ordersPerSecond_ = 0;
+  double readsPerSecond_ = 0; ///< Of the list of hosts, for the whole fleet.
   fleet::PlannerOptions planner_;
 };
 
@@ -89,6 +90,7 @@
   clock::Moment begun_;
   QTimer timer_;
   bool listing_ = false;
+  clock::Moment listNext_{}; ///< The list is not asked for before, to keep to the rate of reads.
   bool stopped_ = false;
   std::vector<fleet::Machine> list_;
   clock::Moment listAt_{};
--- a/include/quetzal/node/NodeSettings.h
+++ b/include/quetzal/node/NodeSettings.h
@@ -27,10 +27,9 @@
   clock::Milliseconds stopTime_{ 0 };      ///< From SIGTERM until the process must have ended.
   clock::Milliseconds fleetOrderGap_{ 0 }; ///< Between the orders of two owners of the fleet.
   clock::Milliseconds retention_{ 0 };     ///< Ended jobs are shown at least this long.
-  clock::Milliseconds awayNotice_{ 0 };    ///< A task taken away counts as away this long.
   clock::Milliseconds maintenanceTime_{ 0 };
-  clock::Milliseconds moveTime_{ 0 };
-  double processorShare_ = 1; ///< Cores that this process may use.
+  clock::Milliseconds moveTime_{ 0 }; ///< From an order to move a host until its worker is there.
+  double processorShare_ = 1;         ///< Cores that this process may use.
   cells::LeaseTimes times_;
 
   bool operator==(const NodeSettings&) const = default;
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -32,8 +32,8 @@
 /** Over which rates of arrival are taken: half of the longest job's chain, within these. */
 constexpr clock::Milliseconds kLeastWindow{ 600 };
 constexpr clock::Milliseconds kMostWindow{ 1'600 };
-/** From the decision to draw a host until tasks start on it. */
-constexpr clock::Milliseconds kForecastAhead{ 2'000 };
+/** Beside a host's move: until it is ordered, and until its worker is known and looked at. */
+constexpr clock::Milliseconds kDrawDelay{ 500 };
 /** Weight of one task's duration in what is learned of estimates. */
 constexpr double kBiasWeight = 0.02;
 constexpr double kLeastBias = 0.4;
@@ -1223,7 +1223,7 @@
   report.stuckTasks_ = CountStuck() + stuckVacates_;
   const auto window = std::clamp(longest / 2, kLeastWindow, kMostWindow);
   report.forecastCores_ =
-    estimateBias_ * fleet::ForecastCores(arrivals_, now, window, kForecastAhead);
+    estimateBias_ * fleet::ForecastCores(arrivals_, now, window, context_.moveTime_ + kDrawDelay);
   for (const auto& [id, row] : workers_) {
     const workers::Book& book = row.worker_->Book();
     report.workers_.push_back({ id,
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -27,6 +27,8 @@
 constexpr std::int64_t kHandOverMemoryMs = 20'000;
 /** After an order without an answer, the host is left alone until the list tells. */
 constexpr clock::Milliseconds kUnsureTime{ 3'000 };
+/** Share of the platform's rate of reads that one owner uses: its predecessor may read too. */
+constexpr double kReadShare = 0.5;
 /** Share of the platform's rate of orders that is used, and the most that may be saved up. */
 constexpr double kOrderShare = 0.8;
 constexpr double kMostRights = 20;
@@ -51,6 +53,15 @@
   return std::chrono::steady_clock::now();
 }
 
+/** Returns how long a list that took some reads must last. */
+clock::Milliseconds
+PauseFor(int aReads, double aReadsPerSecond)
+{
+  constexpr double kMillisecondsPerSecond = 1'000;
+  const double rate = std::max(aReadsPerSecond * kReadShare, 1.0);
+  return clock::Milliseconds(static_cast<std::int64_t>(aReads * kMillisecondsPerSecond / rate));
+}
+
 } // namespace
 
 FleetManager::FleetManager(fleet::MachinePort& aMachines,
@@ -182,7 +193,7 @@
 void
 FleetManager::Tick()
 {
-  if (listing_ || stopped_) {
+  if (listing_ || stopped_ || Now() < listNext_) {
     return;
   }
   listing_ = true;
@@ -190,6 +201,7 @@
   machines_.List([self, askedAt = Now()](const fleet::MachineList& aList) {
     if (self) {
       self->listing_ = false;
+      self->listNext_ = askedAt + PauseFor(aList.reads_, self->options_.readsPerSecond_);
       self->OnList(aList, askedAt);
     }
   });
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -209,7 +209,7 @@
   context.times_ = settings_.times_;
   context.tenure_ = [this] { return membership_.LapsedFor(); };
   context.retention_ = settings_.retention_;
-  context.awayNotice_ = settings_.awayNotice_;
+  context.moveTime_ = settings_.moveTime_;
   auto* cell =
     new cells::Cell(aCell, context, SelfRecord(), aClaimed.fence_, aClaimed.inheritance_, this);
   cells_[aCell] = { cell, aClaimed.keyRevision_, false };
@@ -223,6 +223,7 @@
   options.orderGap_ = settings_.fleetOrderGap_ + clock::Milliseconds(200);
   options.maintenanceTime_ = settings_.maintenanceTime_;
   options.ordersPerSecond_ = settings_.machineOrdersPerSecond_;
+  options.readsPerSecond_ = settings_.machineReadsPerSecond_;
   fleetKeyRevision_ = aClaimed.keyRevision_;
   fleet_ = new FleetManager(*ports_.machines_,
                             *ports_.store_,
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -55,7 +55,6 @@
                    "longest_lease_ms",
                    "fleet_order_gap_ms",
                    "retention_s",
-                   "away_notice_ms",
                    "move_s",
                    "maintenance_s",
                    "processor_share" });
@@ -84,7 +83,6 @@
   settings.fleetOrderGap_ = Milliseconds(root, "fleet_order_gap_ms");
   const double retention = root.Required("retention_s").Number(0, kMostRetentionSeconds);
   settings.retention_ = clock::Milliseconds(std::llround(retention * kRetentionFactor * 1'000));
-  settings.awayNotice_ = Milliseconds(root, "away_notice_ms");
   settings.processorShare_ = root.Required("processor_share").Number(0.01, kMostProcessors);
   settings.moveTime_ = Seconds(root, "move_s");
   settings.maintenanceTime_ = Seconds(root, "maintenance_s");
--- a/tests/harness/JobsDeployment.cpp
+++ b/tests/harness/JobsDeployment.cpp
@@ -81,7 +81,7 @@
        << platform << ":8621\"}\nmachines: {address: \"" << platform
        << ":8622\", orders_per_second: 64, reads_per_second: 64}\n"
        << "stop_time_s: 6\nlongest_lease_ms: 6000\nfleet_order_gap_ms: 3000\nretention_s: 120\n"
-       << "away_notice_ms: 4500\nmove_s: 1.5\nmaintenance_s: 2\nprocessor_share: 0.5\n";
+       << "move_s: 1.5\nmaintenance_s: 2\nprocessor_share: 0.5\n";
   return text.str();
 }
 
