--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -20,6 +20,15 @@
   fleet::PlannerOptions planner_;
 };
 
+/** By what right an owner orders. */
+struct FleetTenure
+{
+  std::string holder_;                ///< This host's name.
+  std::int64_t fence_ = 0;            ///< Above that of every earlier owner.
+  std::int64_t predecessorFence_ = 0; ///< 0: there was none.
+  std::function<bool()> isSure_;      ///< Whether nobody else can own the fleet yet.
+};
+
 /** What the fleet's owner wants of one cell. */
 struct CellOrders
 {
@@ -37,10 +46,8 @@
   FleetManager(fleet::MachinePort& aMachines,
                store::SharedStore& aStore,
                Feed& aFeed,
-               const Membership& aMembership,
                metrics::Registry& aMetrics,
-               std::int64_t aFence,
-               std::int64_t aPredecessorFence,
+               const FleetTenure& aTenure,
                const FleetOptions& aOptions,
                QObject* aParent);
 
@@ -78,14 +85,13 @@
   fleet::OrderAuthority Authority() const;
   bool MayOrder() const;
   bool MayOrder(const std::string& aMachine) const;
-  void ReadHandOver(std::int64_t aPredecessorFence);
+  void ReadHandOver();
 
   fleet::MachinePort& machines_;
   store::SharedStore& store_;
   Feed& feed_;
-  const Membership& membership_;
   metrics::Registry& metrics_;
-  std::int64_t fence_;
+  FleetTenure tenure_;
   FleetOptions options_;
   clock::Moment begun_;
   QTimer timer_;
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -67,37 +67,39 @@
 FleetManager::FleetManager(fleet::MachinePort& aMachines,
                            store::SharedStore& aStore,
                            Feed& aFeed,
-                           const Membership& aMembership,
                            metrics::Registry& aMetrics,
-                           std::int64_t aFence,
-                           std::int64_t aPredecessorFence,
+                           const FleetTenure& aTenure,
                            const FleetOptions& aOptions,
                            QObject* aParent)
   : QObject(aParent)
   , machines_(aMachines)
   , store_(aStore)
   , feed_(aFeed)
-  , membership_(aMembership)
   , metrics_(aMetrics)
-  , fence_(aFence)
+  , tenure_(aTenure)
   , options_(aOptions)
   , begun_(Now())
   , rightsAt_(begun_)
 {
   connect(&timer_, &QTimer::timeout, this, &FleetManager::Tick);
   timer_.start(kInterval);
-  log::Info("fleet", "event=fleet-begun fence=", fence_, " predecessor=", aPredecessorFence);
-  ReadHandOver(aPredecessorFence);
+  log::Info("fleet",
+            "event=fleet-begun fence=",
+            tenure_.fence_,
+            " predecessor=",
+            tenure_.predecessorFence_);
+  ReadHandOver();
 }
 
 void
-FleetManager::ReadHandOver(std::int64_t aPredecessorFence)
+FleetManager::ReadHandOver()
 {
   const QPointer<FleetManager> self(this);
-  store_.Get(kFleetHandOverKey, [self, aPredecessorFence](const store::ReadResult& aResult) {
+  store_.Get(kFleetHandOverKey, [self](const store::ReadResult& aResult) {
     jobs::FleetHandOver record;
     if (self && aResult.status_ == store::Status::kSucceeded && !aResult.items_.empty() &&
-        jobs::Decode(aResult.items_.front().value_, record) && record.fence_ == aPredecessorFence) {
+        jobs::Decode(aResult.items_.front().value_, record) &&
+        record.fence_ == self->tenure_.predecessorFence_) {
       log::Info("fleet", "event=hand-over-read hosts=", record.orderedMs_.size());
       self->handOver_ = record;
     }
@@ -107,7 +109,7 @@
 jobs::FleetHandOver
 FleetManager::HandOver() const
 {
-  jobs::FleetHandOver record{ fence_, orderMs_ };
+  jobs::FleetHandOver record{ tenure_.fence_, orderMs_ };
   const std::int64_t oldest = UnixMs() - kHandOverMemoryMs;
   std::erase_if(record.orderedMs_, [oldest](const auto& aRow) { return aRow.second < oldest; });
   if (handOver_) {
@@ -165,14 +167,14 @@
 fleet::OrderAuthority
 FleetManager::Authority() const
 {
-  return { membership_.Name(), fence_ };
+  return { tenure_.holder_, tenure_.fence_ };
 }
 
 bool
 FleetManager::MayOrder() const
 {
   const bool predecessorIsKnown = handOver_.has_value();
-  return !stopped_ && membership_.HoldsLeaseSurely() &&
+  return !stopped_ && tenure_.isSure_() &&
          (predecessorIsKnown || Now() - begun_ > options_.orderGap_);
 }
 
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -224,16 +224,14 @@
   options.maintenanceTime_ = settings_.maintenanceTime_;
   options.ordersPerSecond_ = settings_.machineOrdersPerSecond_;
   options.readsPerSecond_ = settings_.machineReadsPerSecond_;
+  FleetTenure tenure;
+  tenure.holder_ = settings_.name_;
+  tenure.fence_ = aClaimed.fence_;
+  tenure.predecessorFence_ = aClaimed.linkBefore_;
+  tenure.isSure_ = [this] { return membership_.HoldsLeaseSurely(); };
   fleetKeyRevision_ = aClaimed.keyRevision_;
-  fleet_ = new FleetManager(*ports_.machines_,
-                            *ports_.store_,
-                            *ports_.feed_,
-                            membership_,
-                            metrics_,
-                            aClaimed.fence_,
-                            aClaimed.linkBefore_,
-                            options,
-                            this);
+  fleet_ = new FleetManager(
+    *ports_.machines_, *ports_.store_, *ports_.feed_, metrics_, tenure, options, this);
 }
 
 void
