--- a/tests/unit/FakeWorkers.cpp
+++ b/tests/unit/FakeWorkers.cpp
@@ -123,6 +123,9 @@
   }
   if (running_.emplace(aOrder.task_, Run{ aOrder.run_, aOrder.deadlineMs_ }).second) {
     starts_.emplace_back(aOrder.task_, aOrder.run_);
+    if (onStart_) {
+      onStart_(aOrder.task_);
+    }
   }
   return { workers::OrderStatus::kAccepted, clock };
 }
@@ -154,6 +157,11 @@
   }
   fence_ = aOrder.fence_;
   forgotten_ = std::max(forgotten_, aOrder.forgetUpTo_);
+  for (const workers::EndedTask& end : ended_) {
+    if (end.number_ <= forgotten_ && onForgotten_) {
+      onForgotten_(end);
+    }
+  }
   std::erase_if(ended_, [this](const auto& aEnd) { return aEnd.number_ <= forgotten_; });
   look.status_ = workers::OrderStatus::kAccepted;
   for (auto& [task, run] : running_) {
@@ -188,6 +196,21 @@
   barred_.clear();
 }
 
+void
+FakeWorker::Expire()
+{
+  const std::int64_t clock = ClockMs();
+  std::vector<jobs::TaskId> lapsed;
+  for (const auto& [task, run] : running_) {
+    if (run.leaseEndMs_ < clock) {
+      lapsed.push_back(task);
+    }
+  }
+  for (const jobs::TaskId& task : lapsed) {
+    End(task, jobs::EndKind::kLapsed);
+  }
+}
+
 void
 FakeWorker::RunLate()
 {
--- a/tests/unit/FakeWorkers.h
+++ b/tests/unit/FakeWorkers.h
@@ -41,6 +41,8 @@
   /** Starts a new life, with nothing of before. */
   void Reboot();
   void RunLate();
+  /** Ends every run whose lease is over. */
+  void Expire();
 
   static std::int64_t ClockMs();
 
@@ -56,6 +58,8 @@
   std::vector<std::pair<jobs::TaskId, std::int64_t>> starts_; ///< Every run that has begun.
   std::vector<workers::StartOrder> late_;
   std::deque<OrderFate> startFates_;
+  std::function<void(const jobs::TaskId&)> onStart_;           ///< A run has begun.
+  std::function<void(const workers::EndedTask&)> onForgotten_; ///< An end was said to be recorded.
   bool wantsTicket_ = false;
   int lostPaces_ = 0;                            ///< Orders to change the pace that get no answer.
   std::map<jobs::TaskId, int> paces_;            ///< As last ordered, in per cent.
