A host that owns far more cells for its cores than another hands one over

Change: when another host would own a cell with at most half the cells for each core, for 1 s, the cell with the fewest live jobs is handed over as at a stop.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -111,6 +111,9 @@
   void Cancel(const std::string& aId, AnswerCallback aDone);
   std::int64_t PendingOf(const std::string& aQueue) const;
 
+  /** Returns how many jobs have not ended. */
+  std::size_t LiveJobs() const;
+
   /** Tells whether the cell knows the job. */
   bool Knows(const std::string& aId) const { return jobs_.contains(aId); }
 
--- a/include/quetzal/node/CellClaim.h
+++ b/include/quetzal/node/CellClaim.h
@@ -76,4 +76,12 @@
           const std::map<std::string, jobs::HostRecord>& aHosts,
           const std::map<std::string, int>& aCellCounts);
 
+/** Tells whether a host should hand one of its cells over: another host would then own, with it, at
+ * most half as many cells for each core. It answers hosts that return after others took their
+ * cells, and a host that took many when it was first. */
+bool
+ShouldHandOver(const std::string& aHost,
+               const std::map<std::string, jobs::HostRecord>& aHosts,
+               const std::map<std::string, int>& aCellCounts);
+
 } // namespace quetzal::node
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -52,6 +52,7 @@
     cells::Cell* cell_ = nullptr;
     std::int64_t keyRevision_ = 0;
     bool reporting_ = false;
+    std::optional<clock::Moment> leavingSince_; ///< It is being handed over.
   };
 
   void Tick();
@@ -76,6 +77,9 @@
                  const std::function<void(const std::string&)>& aReply);
   void Report(const std::string& aCell);
   void ApplyOrders(const std::string& aCell, const CellOrders& aOrders);
+  void Balance();
+  void Leave(const std::string& aCell);
+  void ReleaseQuiet();
   void HandOver();
   void Release(const std::string& aKey,
                std::int64_t aRevision,
@@ -89,11 +93,12 @@
   std::map<std::string, Owned> cells_;
   std::map<std::string, CellClaim*> claims_;
   std::map<std::string, clock::Moment> vacantSince_;
+  std::set<std::string> releasing_; ///< Keys that are being given back.
+  std::optional<clock::Moment> unbalancedSince_;
   FleetManager* fleet_ = nullptr;
   std::int64_t fleetKeyRevision_ = 0;
   QTimer tickTimer_;
   clock::Moment startedAt_;
-  clock::Moment stopBegun_{};
   bool stopping_ = false;
   bool handedOver_ = false;
 };
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -487,6 +487,14 @@
   });
 }
 
+std::size_t
+Cell::LiveJobs() const
+{
+  return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [](const auto& aRow) {
+    return !jobs::IsFinal(aRow.second.state_);
+  }));
+}
+
 // --- Ends ----------------------------------------------------------------------------------------
 
 int
--- a/src/node/CellClaim.cpp
+++ b/src/node/CellClaim.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr clock::Milliseconds kReadPause{ 100 };
+/** How many times as loaded a host must be before it hands a cell over. */
+constexpr double kUnbalanced = 2;
 /** Least cores that a host is taken to have. */
 constexpr double kLeastShare = 0.01;
 /** Failed reads after which another host may try. */
@@ -18,6 +20,18 @@
 /** A host that is next in line claims a vacant cell this much later than the one before it. */
 constexpr clock::Milliseconds kRankDelay{ 150 };
 
+/** Returns a host's cells for each core it may use. @param aMore cells beyond those it owns. */
+double
+LoadOf(const std::string& aHost,
+       const jobs::HostRecord& aRecord,
+       const std::map<std::string, int>& aCellCounts,
+       int aMore)
+{
+  const auto count = aCellCounts.find(aHost);
+  const int cells = aMore + (count == aCellCounts.end() ? 0 : count->second);
+  return cells / std::max(aRecord.processorShare_, kLeastShare);
+}
+
 } // namespace
 
 CellClaim::CellClaim(store::SharedStore& aStore,
@@ -159,9 +173,7 @@
   }
   std::vector<std::string> ranked = membership::OwnersOf(aCell, names, names.size());
   const auto loadOf = [&](const std::string& aName) {
-    const auto count = aCellCounts.find(aName);
-    const int cells = 1 + (count == aCellCounts.end() ? 0 : count->second);
-    return cells / std::max(aHosts.at(aName).processorShare_, kLeastShare);
+    return LoadOf(aName, aHosts.at(aName), aCellCounts, 1);
   };
   std::stable_sort(ranked.begin(), ranked.end(), [&](const auto& aLeft, const auto& aRight) {
     return loadOf(aLeft) < loadOf(aRight);
@@ -170,4 +182,20 @@
   return static_cast<std::size_t>(place - ranked.begin());
 }
 
+bool
+ShouldHandOver(const std::string& aHost,
+               const std::map<std::string, jobs::HostRecord>& aHosts,
+               const std::map<std::string, int>& aCellCounts)
+{
+  const auto self = aHosts.find(aHost);
+  if (self == aHosts.end()) {
+    return false;
+  }
+  const double own = LoadOf(aHost, self->second, aCellCounts, 0);
+  return std::any_of(aHosts.begin(), aHosts.end(), [&](const auto& aOther) {
+    return aOther.first != aHost &&
+           kUnbalanced * LoadOf(aOther.first, aOther.second, aCellCounts, 1) <= own;
+  });
+}
+
 } // namespace quetzal::node
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -13,6 +13,9 @@
 /** How long a handed-over cell may take to write what it has left. */
 constexpr clock::Milliseconds kHandOverTime{ 900 };
 constexpr clock::Milliseconds kReportTime{ 700 };
+/** How long hosts stay unevenly loaded before a cell is handed over: owners that have just stopped
+ * or returned are known by then. */
+constexpr clock::Milliseconds kBalanceDelay{ 1'000 };
 /** Taken off a caller's patience, so that the answer is in time. */
 constexpr clock::Milliseconds kAnswerMargin{ 100 };
 constexpr clock::Milliseconds kVacantRetryAfter{ 1'000 };
@@ -96,7 +99,10 @@
   }
   if (stopping_) {
     HandOver();
+    return;
   }
+  Balance();
+  ReleaseQuiet();
 }
 
 // --- Ownership -----------------------------------------------------------------------------------
@@ -134,7 +140,7 @@
   }
   for (const std::string& cell : WantedCells()) {
     const bool mine = cell == kFleetCell ? fleet_ != nullptr : cells_.contains(cell);
-    if (mine || claims_.contains(cell)) {
+    if (mine || claims_.contains(cell) || releasing_.contains(CellKey(cell))) {
       continue;
     }
     const auto owner = membership_.OwnerOf(cell);
@@ -212,7 +218,7 @@
   context.moveTime_ = settings_.moveTime_;
   auto* cell =
     new cells::Cell(aCell, context, SelfRecord(), aClaimed.fence_, aClaimed.inheritance_, this);
-  cells_[aCell] = { cell, aClaimed.keyRevision_, false };
+  cells_[aCell] = { cell, aClaimed.keyRevision_, false, std::nullopt };
   connect(cell, &cells::Cell::Lost, this, [this, aCell] { DropCell(aCell); });
 }
 
@@ -540,30 +546,65 @@
     return;
   }
   stopping_ = true;
-  stopBegun_ = Now();
   log::Info("node", "event=stop cells=", cells_.size(), " fleet=", fleet_ != nullptr);
   membership_.AnnounceStop();
   for (const auto& [name, owned] : cells_) {
-    owned.cell_->StopPlacing();
+    Leave(name);
   }
   HandOver();
 }
 
 void
-NodeProcess::HandOver()
+NodeProcess::Balance()
 {
-  const bool late = Now() - stopBegun_ > kHandOverTime;
-  if (fleet_ != nullptr) {
-    fleet_->Stop();
-    Release(CellKey(kFleetCell),
-            fleetKeyRevision_,
-            { { kFleetHandOverKey, jobs::Encode(fleet_->HandOver()), 0 } });
-    fleet_->deleteLater();
-    fleet_ = nullptr;
+  const clock::Moment now = Now();
+  const bool isLeaving = std::any_of(cells_.begin(), cells_.end(), [](const auto& aRow) {
+    return aRow.second.leavingSince_.has_value();
+  });
+  if (cells_.empty() || isLeaving || !claims_.empty() || !membership_.HoldsLeaseSurely() ||
+      !ShouldHandOver(settings_.name_, membership_.Hosts(), membership_.CellCounts())) {
+    unbalancedSince_.reset();
+    return;
+  }
+  if (!unbalancedSince_) {
+    unbalancedSince_ = now;
+  }
+  if (now - *unbalancedSince_ < kBalanceDelay) {
+    return;
+  }
+  unbalancedSince_.reset();
+  const auto smallest =
+    std::min_element(cells_.begin(), cells_.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.cell_->LiveJobs() < aRight.second.cell_->LiveJobs();
+    });
+  log::Info("node",
+            "event=balance cell=",
+            smallest->first,
+            " cells=",
+            cells_.size(),
+            " live_jobs=",
+            smallest->second.cell_->LiveJobs());
+  metrics_.Add("quetzal_cells_balanced_total", {});
+  Leave(std::string(smallest->first));
+}
+
+void
+NodeProcess::Leave(const std::string& aCell)
+{
+  Owned& owned = cells_.at(aCell);
+  if (!owned.leavingSince_) {
+    owned.leavingSince_ = Now();
+    owned.cell_->StopPlacing();
   }
+}
+
+void
+NodeProcess::ReleaseQuiet()
+{
   std::vector<std::string> quiet;
   for (const auto& [name, owned] : cells_) {
-    if (owned.cell_->IsQuiet() || late) {
+    if (owned.leavingSince_ &&
+        (owned.cell_->IsQuiet() || Now() - *owned.leavingSince_ > kHandOverTime)) {
       quiet.push_back(name);
     }
   }
@@ -571,6 +612,20 @@
     Release(CellKey(name), cells_.at(name).keyRevision_);
     DropCell(name);
   }
+}
+
+void
+NodeProcess::HandOver()
+{
+  if (fleet_ != nullptr) {
+    fleet_->Stop();
+    Release(CellKey(kFleetCell),
+            fleetKeyRevision_,
+            { { kFleetHandOverKey, jobs::Encode(fleet_->HandOver()), 0 } });
+    fleet_->deleteLater();
+    fleet_ = nullptr;
+  }
+  ReleaseQuiet();
   if (cells_.empty() && !handedOver_) {
     handedOver_ = true;
     Q_EMIT HandedOver();
@@ -586,8 +641,13 @@
   change.puts_ = aPuts;
   change.expected_.push_back({ aKey, aRevision });
   change.removes_.push_back(aKey);
-  ports_.store_->Commit(change, [aKey](const store::CommitResult& aResult) {
+  releasing_.insert(aKey);
+  const QPointer<NodeProcess> self(this);
+  ports_.store_->Commit(change, [self, aKey](const store::CommitResult& aResult) {
     log::Info("node", "event=released key=", aKey, " status=", store::ToString(aResult.status_));
+    if (self) {
+      self->releasing_.erase(aKey);
+    }
   });
 }
 
--- a/tests/unit/CellClaimTest.cpp
+++ b/tests/unit/CellClaimTest.cpp
@@ -49,6 +49,54 @@
   BOOST_TEST(!node::IsClaimDue({ start, start + 60s, 2 }, start + 60s + 200ms));
 }
 
+BOOST_AUTO_TEST_CASE(HandOver_AnotherHostIsIdle_IsDueForTheOneWithTwoCells)
+{
+  const std::map<std::string, jobs::HostRecord> hosts{ { "a", {} }, { "b", {} }, { "c", {} } };
+  BOOST_TEST(node::ShouldHandOver("a", hosts, { { "a", 2 }, { "b", 1 } }));
+  BOOST_TEST(!node::ShouldHandOver("b", hosts, { { "a", 2 }, { "b", 1 } }));
+  BOOST_TEST(!node::ShouldHandOver("a", hosts, { { "a", 2 }, { "b", 1 }, { "c", 1 } }));
+}
+
+BOOST_AUTO_TEST_CASE(HandOver_SmallHostOwnsACellAndALargeOneNone_IsDue)
+{
+  std::map<std::string, jobs::HostRecord> hosts{ { "big", {} }, { "small", {} } };
+  hosts["big"].processorShare_ = 0.5;
+  hosts["small"].processorShare_ = 0.12;
+  BOOST_TEST(node::ShouldHandOver("small", hosts, { { "small", 1 } }));
+  BOOST_TEST(!node::ShouldHandOver("big", hosts, { { "big", 1 } }));
+}
+
+/** Hosts hand over until none should: the cells must come to rest, whatever they began with. */
+BOOST_AUTO_TEST_CASE(HandOver_RepeatedUntilNoneIsDue_ComesToRest)
+{
+  std::map<std::string, jobs::HostRecord> hosts;
+  for (int i = 0; i < 8; ++i) {
+    hosts["h" + std::to_string(i)].processorShare_ = i < 3 ? 0.5 : 0.12;
+  }
+  for (int first = 0; first < 8; ++first) {
+    std::map<std::string, int> counts{ { "h" + std::to_string(first), 5 } };
+    int moves = 0;
+    for (bool moved = true; moved && moves < 100;) {
+      moved = false;
+      for (const auto& [name, record] : hosts) {
+        if (node::ShouldHandOver(name, hosts, counts)) {
+          --counts[name];
+          ++moves;
+          moved = true;
+          for (const auto& [other, otherRecord] : hosts) {
+            if (node::ClaimRank(other, "x", hosts, counts) == 0) {
+              ++counts[other];
+              break;
+            }
+          }
+        }
+      }
+    }
+    BOOST_TEST(moves < 10);
+    BOOST_TEST(counts["h0"] + counts["h1"] + counts["h2"] == 5);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
