An end's number is told to a worker once only, and not when its clock has gone back

Ruled out: late orders and late changes of the store (the seeds' logs show neither near the second run). Change: the number is told once, and not to a worker whose answers show an earlier clock. The stand-in's workers now take 150 ms to restart and start their clock anew, as the platform's do.

--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -118,7 +118,7 @@
 
 private:
   void Look();
-  void OnLook(const workers::Look& aLook, clock::Moment aSentAt);
+  void OnLook(const workers::Look& aLook, std::int64_t aForgotten, clock::Moment aSentAt);
   void OnSilence(const workers::Look& aLook);
   void OnStart(const jobs::TaskId& aTask, std::int64_t aRun, const workers::OrderReply& aReply);
   void Bar(const jobs::TaskId& aTask, std::int64_t aRun);
@@ -144,6 +144,7 @@
   bool closed_ = false;
   bool inRoster_ = false;
   bool silent_ = false;
+  bool mayBeReborn_ = false; ///< Its clock has gone back.
   int life_ = 0;
   clock::Moment avoidedUntil_{};
 };
--- a/include/quetzal/workers/Book.h
+++ b/include/quetzal/workers/Book.h
@@ -57,6 +57,7 @@
   std::int64_t grantedMs_ = 0;        ///< Latest lease end it was told, on its own clock.
   std::int64_t bornMs_ = 0;           ///< 0: not known yet.
   std::int64_t processed_ = 0;        ///< Ends up to this number have been handed on.
+  std::int64_t forgotten_ = 0;        ///< Ends up to this number were told to be recorded.
   std::set<std::int64_t> unrecorded_; ///< Ends handed on and not yet recorded.
 };
 
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -97,6 +97,9 @@
     return;
   }
   slot->second.answeredAt_ = std::chrono::steady_clock::now();
+  // Answers may overtake each other, so this is no proof; the next look tells.
+  mayBeReborn_ = mayBeReborn_ ||
+                 (aReply.clockMs_ != 0 && book_.clock_ && aReply.clockMs_ < book_.clock_->clockMs_);
   switch (aReply.status_) {
     case OrderStatus::kAccepted:
       if (slot->second.state_ == workers::SlotState::kOrdered) {
@@ -268,8 +271,10 @@
   const clock::Moment now = std::chrono::steady_clock::now();
   workers::HoldOrder order;
   order.fence_ = fence_;
-  // A worker that was silent may have begun another life, whose ends count anew.
-  order.forgetUpTo_ = silent_ ? 0 : workers::RecordedUpTo(book_);
+  // A worker may have begun another life, whose ends count anew: a number is told once only, and to
+  // a worker that has answered since it listed that end.
+  const std::int64_t recorded = workers::RecordedUpTo(book_);
+  order.forgetUpTo_ = silent_ || mayBeReborn_ || recorded <= book_.forgotten_ ? 0 : recorded;
   const bool mayRenew = tenure_() < kTenureGrace;
   if (book_.clock_ && !book_.slots_.empty() && !silent_ && mayRenew) {
     order.deadlineMs_ =
@@ -280,11 +285,13 @@
       order.wait_ = std::min(order.wait_, kSharedLookWait);
     }
   }
-  port_->Hold(order, [this, now](const workers::Look& aLook) { OnLook(aLook, now); });
+  port_->Hold(order, [this, now, told = order.forgetUpTo_](const workers::Look& aLook) {
+    OnLook(aLook, told, now);
+  });
 }
 
 void
-Worker::OnLook(const workers::Look& aLook, clock::Moment aSentAt)
+Worker::OnLook(const workers::Look& aLook, std::int64_t aForgotten, clock::Moment aSentAt)
 {
   looking_ = false;
   if (aLook.status_ == workers::OrderStatus::kFenced) {
@@ -302,9 +309,14 @@
     log::Info("worker", "event=worker-back worker=", registration_.id_);
   }
   silent_ = false;
+  mayBeReborn_ = false;
+  const std::int64_t bornBefore = book_.bornMs_;
   if (aLook.bornMs_ != 0 && aLook.bornMs_ != book_.bornMs_) {
     BeginLife(aLook.bornMs_);
   }
+  if (aLook.bornMs_ == bornBefore) {
+    book_.forgotten_ = std::max(book_.forgotten_, aForgotten);
+  }
   book_.clock_ = { aLook.clockMs_, std::chrono::steady_clock::now() };
   settled_ = true;
   ReadEnds(aLook.ended_);
@@ -352,6 +364,7 @@
             book_.slots_.size());
   ++life_;
   book_.processed_ = 0;
+  book_.forgotten_ = 0;
   book_.unrecorded_.clear();
   book_.grantedMs_ = 0;
   EndAll(jobs::EndKind::kLapsed);
--- a/tests/unit/FakeWorkers.cpp
+++ b/tests/unit/FakeWorkers.cpp
@@ -7,6 +7,7 @@
 
 /** Time in which an unanswered call is given up. */
 constexpr std::chrono::milliseconds kSilence{ 60 };
+constexpr std::chrono::milliseconds kRestart{ 150 };
 
 class FakePort
   : public QObject
@@ -26,7 +27,7 @@
       fate = worker_.startFates_.front();
       worker_.startFates_.pop_front();
     }
-    if (!worker_.reachable_) {
+    if (!worker_.IsReachable()) {
       fate = OrderFate::kLost;
     }
     switch (fate) {
@@ -50,7 +51,7 @@
             std::int64_t aFence,
             std::function<void(const workers::OrderReply&)> aDone) override
   {
-    if (!worker_.reachable_) {
+    if (!worker_.IsReachable()) {
       QTimer::singleShot(kSilence, this, [aDone] { aDone({}); });
       return;
     }
@@ -60,7 +61,7 @@
   void Hold(const workers::HoldOrder& aOrder,
             std::function<void(const workers::Look&)> aDone) override
   {
-    if (!worker_.reachable_) {
+    if (!worker_.IsReachable()) {
       QTimer::singleShot(kSilence, this, [aDone] { aDone({}); });
       return;
     }
@@ -74,13 +75,13 @@
             std::int64_t /*aFence*/,
             std::function<void(const workers::OrderReply&)> aDone) override
   {
-    if (!worker_.reachable_ || worker_.lostPaces_ > 0) {
+    if (!worker_.IsReachable() || worker_.lostPaces_ > 0) {
       worker_.lostPaces_ = std::max(0, worker_.lostPaces_ - 1);
       QTimer::singleShot(kSilence, this, [aDone] { aDone({}); });
       return;
     }
     worker_.paces_[aTask] = aPercent;
-    Answer({ workers::OrderStatus::kAccepted, FakeWorker::ClockMs() }, aDone);
+    Answer({ workers::OrderStatus::kAccepted, worker_.ClockMs() }, aDone);
   }
 
 private:
@@ -96,11 +97,18 @@
 } // namespace
 
 std::int64_t
-FakeWorker::ClockMs()
+FakeWorker::ClockMs() const
 {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           std::chrono::steady_clock::now().time_since_epoch())
-    .count();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() -
+                                                               clockBegan_)
+           .count() +
+         1;
+}
+
+bool
+FakeWorker::IsReachable() const
+{
+  return reachable_ && std::chrono::steady_clock::now() >= downUntil_;
 }
 
 workers::OrderReply
@@ -188,6 +196,8 @@
 FakeWorker::Reboot()
 {
   ++bornMs_;
+  clockBegan_ = std::chrono::steady_clock::now();
+  downUntil_ = clockBegan_ + kRestart;
   fence_ = 0;
   running_.clear();
   ended_.clear();
--- a/tests/unit/FakeWorkers.h
+++ b/tests/unit/FakeWorkers.h
@@ -17,7 +17,7 @@
   kLate, ///< Not answered; carried out when RunLate() is called.
 };
 
-/** One worker in memory. Its clock is the test's steady clock. */
+/** One worker in memory. */
 class FakeWorker
 {
 public:
@@ -38,17 +38,22 @@
 
   /** Ends a task's run. */
   void End(const jobs::TaskId& aTask, jobs::EndKind aKind, const std::string& aCheckpoint = {});
-  /** Starts a new life, with nothing of before. */
+  /** Starts a new life, with nothing of before. It is not reached for a while, as it restarts. */
   void Reboot();
+  bool IsReachable() const;
   void RunLate();
   /** Ends every run whose lease is over. */
   void Expire();
 
-  static std::int64_t ClockMs();
+  /** Milliseconds since the life began, and somewhat more. */
+  std::int64_t ClockMs() const;
 
   std::string id_;
   bool reachable_ = true;
   std::int64_t bornMs_ = 1;
+  std::chrono::steady_clock::time_point clockBegan_ =
+    std::chrono::steady_clock::now() - std::chrono::hours(1);
+  std::chrono::steady_clock::time_point downUntil_{};
   std::int64_t fence_ = 0;
   std::map<jobs::TaskId, Run> running_;
   std::vector<workers::EndedTask> ended_;
