--- a/include/quetzal/jobs/Job.h
+++ b/include/quetzal/jobs/Job.h
@@ -95,6 +95,10 @@
 std::string
 ToString(const TaskId& aTask);
 
+/** Returns "job.occurrence.step". */
+std::string
+StepName(const std::string& aJob, int aOccurrence, int aStep);
+
 /** Tells whether a job can be run at all: steps exist, refer to earlier steps only, and ask for
  * sensible amounts. @param aWhy set to the reason where it cannot. */
 bool
--- a/include/quetzal/placement/Placement.h
+++ b/include/quetzal/placement/Placement.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "include/quetzal/jobs/Job.h"
-#include "include/quetzal/workers/WorkerPort.h"
+#include "include/quetzal/workers/Book.h"
 
 #include <optional>
 #include <string>
@@ -51,4 +51,11 @@
 workers::Capacity
 NeedOf(const jobs::StepSpec& aStep);
 
+/** Returns the entry of a worker's book for a run of a step's task. */
+workers::Slot
+MakeSlot(const jobs::StepSpec& aStep,
+         std::int64_t aRun,
+         workers::SlotState aState,
+         clock::Moment aNow);
+
 } // namespace quetzal::placement
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -68,6 +68,12 @@
          "." + std::to_string(aTask.index_);
 }
 
+std::string
+StepName(const std::string& aJob, int aOccurrence, int aStep)
+{
+  return aJob + "." + std::to_string(aOccurrence) + "." + std::to_string(aStep);
+}
+
 bool
 IsValid(const JobSpec& aSpec, std::string& aWhy)
 {
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -1,5 +1,6 @@
 #include "include/quetzal/node/FleetManager.h"
 
+#include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
 
 #include <QtCore/QPointer>
@@ -8,6 +9,9 @@
 namespace quetzal::node {
 namespace {
 
+using clock::Now;
+using clock::UnixMs;
+
 constexpr clock::Milliseconds kInterval{ 150 };
 constexpr clock::Milliseconds kPlanLogInterval{ 1'000 };
 /** A pool's need is the highest of its reports in this time: arrivals come in uneven groups. */
@@ -39,20 +43,6 @@
   return "quetzal/wave/" + std::to_string(aWave);
 }
 
-std::int64_t
-UnixMs()
-{
-  return std::chrono::duration_cast<clock::Milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
-clock::Moment
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 /** Returns how long a list that took some reads must last. */
 clock::Milliseconds
 PauseFor(int aReads, double aReadsPerSecond)
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -1,5 +1,6 @@
 #include "include/quetzal/node/NodeProcess.h"
 
+#include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
 #include "src/node/Messages.h"
 
@@ -9,6 +10,8 @@
 namespace quetzal::node {
 namespace {
 
+using clock::Now;
+
 constexpr clock::Milliseconds kTickInterval{ 120 };
 /** How long a handed-over cell may take to write what it has left. */
 constexpr clock::Milliseconds kHandOverTime{ 900 };
@@ -22,12 +25,6 @@
 /** Between two times that an owner is asked about a job whose outcome is not known. */
 constexpr clock::Milliseconds kAskAgainPause{ 150 };
 
-clock::Moment
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 cells::Answer
 Refusal()
 {
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -129,4 +129,21 @@
   return FillGang(aStep, aCandidates, all);
 }
 
+workers::Slot
+MakeSlot(const jobs::StepSpec& aStep,
+         std::int64_t aRun,
+         workers::SlotState aState,
+         clock::Moment aNow)
+{
+  workers::Slot slot;
+  slot.run_ = aRun;
+  slot.state_ = aState;
+  slot.need_ = NeedOf(aStep);
+  slot.lasting_ = aStep.lasting_;
+  slot.fills_ = aStep.fills_;
+  slot.targetMs_ = aStep.targetMs_;
+  slot.orderedAt_ = aNow;
+  return slot;
+}
+
 } // namespace quetzal::placement
