--- a/bench/Jobs.cpp
+++ b/bench/Jobs.cpp
@@ -54,6 +54,7 @@
   }
   int next = 1'000;
   std::vector<std::chrono::milliseconds> before;
+  before.reserve(static_cast<std::size_t>(aCase.entryHosts_));
   for (int i = 0; i < aCase.entryHosts_; ++i) {
     before.push_back(jobs.Entry(i).ProcessorTime());
   }
--- a/include/quetzal/jobs/Records.h
+++ b/include/quetzal/jobs/Records.h
@@ -16,52 +16,38 @@
 {
   StepSpec step_;
 
+  /** @param aStep a StepSpec, constant or not. */
+  template<typename Step>
+  static auto FieldsOf(Step& aStep)
+  {
+    return msgpack::type::make_define_array(aStep.count_,
+                                            aStep.cpu_,
+                                            aStep.memory_,
+                                            aStep.accelerators_,
+                                            aStep.estimateMs_,
+                                            aStep.after_,
+                                            aStep.checkpointing_,
+                                            aStep.gang_,
+                                            aStep.sameRack_,
+                                            aStep.requiredLabel_,
+                                            aStep.dataRack_,
+                                            aStep.mostPerWorker_,
+                                            aStep.speculative_,
+                                            aStep.lasting_,
+                                            aStep.image_,
+                                            aStep.targetMs_,
+                                            aStep.fills_,
+                                            aStep.mayMiss_);
+  }
+
   template<typename Packer>
   void msgpack_pack(Packer& aPacker) const // NOLINT: the library calls it by this name.
   {
-    const StepSpec& s = step_;
-    msgpack::type::make_define_array(s.count_,
-                                     s.cpu_,
-                                     s.memory_,
-                                     s.accelerators_,
-                                     s.estimateMs_,
-                                     s.after_,
-                                     s.checkpointing_,
-                                     s.gang_,
-                                     s.sameRack_,
-                                     s.requiredLabel_,
-                                     s.dataRack_,
-                                     s.mostPerWorker_,
-                                     s.speculative_,
-                                     s.lasting_,
-                                     s.image_,
-                                     s.targetMs_,
-                                     s.fills_,
-                                     s.mayMiss_)
-      .msgpack_pack(aPacker);
+    FieldsOf(step_).msgpack_pack(aPacker);
   }
   void msgpack_unpack(const msgpack::object& aObject) // NOLINT: likewise.
   {
-    StepSpec& s = step_;
-    msgpack::type::make_define_array(s.count_,
-                                     s.cpu_,
-                                     s.memory_,
-                                     s.accelerators_,
-                                     s.estimateMs_,
-                                     s.after_,
-                                     s.checkpointing_,
-                                     s.gang_,
-                                     s.sameRack_,
-                                     s.requiredLabel_,
-                                     s.dataRack_,
-                                     s.mostPerWorker_,
-                                     s.speculative_,
-                                     s.lasting_,
-                                     s.image_,
-                                     s.targetMs_,
-                                     s.fills_,
-                                     s.mayMiss_)
-      .msgpack_unpack(aObject);
+    FieldsOf(step_).msgpack_unpack(aObject);
   }
 };
 
--- a/src/connection/Health.cpp
+++ b/src/connection/Health.cpp
@@ -1,5 +1,7 @@
 #include "include/quetzal/connection/Health.h"
 
+#include "include/quetzal/http/Status.h"
+
 #include <array>
 #include <cstddef>
 
@@ -7,9 +9,6 @@
 namespace {
 
 constexpr int kFailuresToFail = 2;
-constexpr unsigned kOk = 200;
-constexpr unsigned kFirstRedirect = 300;
-constexpr unsigned kLeavingStatus = 503;
 
 } // namespace
 
@@ -23,10 +22,10 @@
 Health
 AfterAnswer(Health aHealth, unsigned aStatus)
 {
-  if (aStatus >= kOk && aStatus < kFirstRedirect) {
+  if (aStatus >= http::status::kOk && aStatus < http::status::kFirstRedirect) {
     return { HealthState::kHealthy, 0 };
   }
-  if (aStatus == kLeavingStatus) {
+  if (aStatus == http::status::kUnavailable) {
     return { HealthState::kLeaving, aHealth.failures_ };
   }
   return AfterFailure(aHealth);
--- a/src/entry/CallerGate.cpp
+++ b/src/entry/CallerGate.cpp
@@ -1,6 +1,7 @@
 #include "include/quetzal/entry/CallerGate.h"
 
 #include "include/quetzal/entry/TicketBuilder.h"
+#include "include/quetzal/http/Status.h"
 
 namespace quetzal::entry {
 namespace {
@@ -9,8 +10,6 @@
 using outcome::Reason;
 
 constexpr const char* kHealthPath = "/health";
-constexpr unsigned kUnavailable = 503;
-constexpr unsigned kOk = 200;
 
 Reason
 ReasonOf(http::ReadError aError)
@@ -43,7 +42,7 @@
     response.body_ = std::string(outcome::ToString(aReason)) + "\n";
     response.fields_ = { { "Content-Type", "text/plain" },
                          { "Quetzal-Reason", std::string(outcome::ToString(aReason)) } };
-    if (response.status_ == kUnavailable) {
+    if (response.status_ == http::status::kUnavailable) {
       response.fields_.push_back({ "Retry-After", "1" });
     }
   }
@@ -115,7 +114,7 @@
 CallerGate::OnRequest(http::ServerConnection* aConnection, const http::Request& aRequest)
 {
   if (aRequest.target_ == kHealthPath) {
-    const unsigned status = stopping_ ? kUnavailable : kOk;
+    const unsigned status = stopping_ ? http::status::kUnavailable : http::status::kOk;
     aConnection->Answer({ status, {}, stopping_ ? "leaving\n" : "ok\n" });
     return;
   }
--- a/src/entry/Dispatcher.cpp
+++ b/src/entry/Dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "include/quetzal/admission/QueueCommands.h"
 #include "include/quetzal/admission/QueueQueries.h"
 #include "include/quetzal/clock/Now.h"
+#include "include/quetzal/http/Status.h"
 #include "include/quetzal/log/Log.h"
 #include "include/quetzal/retry/Decision.h"
 
@@ -18,7 +19,6 @@
 using outcome::Reason;
 
 constexpr clock::Milliseconds kDueInterval{ 5 };
-constexpr unsigned kFirstServerError = 500;
 /** A retry waits this long for a slot of a backend server that it has not tried. */
 constexpr clock::Milliseconds kParkTime{ 50 };
 
@@ -77,7 +77,7 @@
 HasFailed(const admission::Latency& aUsual, const JobResult& aResult)
 {
   if (aResult.state_ == routing::AttemptState::kAnswered) {
-    return aResult.response_.status_ >= kFirstServerError;
+    return aResult.response_.status_ >= http::status::kFirstServerError;
   }
   const bool tooLate = aResult.reason_ == Reason::kDeadlinePassed;
   return !tooLate || aResult.time_ >= admission::SilenceBound(aUsual);
@@ -333,7 +333,7 @@
   const admission::Latency& usual = state.latency_[pending.ticket_.route_.class_];
   state.servers_->Judge(aHost, HasFailed(usual, aResult));
   const bool answered = aResult.state_ == routing::AttemptState::kAnswered;
-  const bool serverError = answered && aResult.response_.status_ >= kFirstServerError;
+  const bool serverError = answered && aResult.response_.status_ >= http::status::kFirstServerError;
   if (answered && !serverError) {
     admission::Latency& latency = state.latency_[pending.ticket_.route_.class_];
     latency = admission::Observe(latency, aResult.time_);
--- a/src/http/Reader.cpp
+++ b/src/http/Reader.cpp
@@ -1,5 +1,7 @@
 #include "include/quetzal/http/Reader.h"
 
+#include "include/quetzal/http/Status.h"
+
 #include <QtCore/QByteArray>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -12,7 +14,6 @@
 
 /** The status below which an answer only announces the real one. */
 constexpr unsigned kFirstFinalStatus = 200;
-constexpr unsigned kSwitchingProtocols = 101;
 
 ReadError
 ErrorOf(const boost::system::error_code& aError)
@@ -207,7 +208,7 @@
       return result;
     }
     const unsigned status = state_->parser_->get().result_int();
-    if (status == kSwitchingProtocols) {
+    if (status == status::kSwitchingProtocols) {
       state_->error_ = ReadError::kMalformed;
       return ReadState::kFailed;
     }
--- a/tests/harness/JobsDeployment.cpp
+++ b/tests/harness/JobsDeployment.cpp
@@ -1,5 +1,6 @@
 #include "tests/harness/JobsDeployment.h"
 
+#include "include/quetzal/http/Status.h"
 #include "platform/Body.h"
 
 #include <QtCore/QDir>
@@ -18,7 +19,6 @@
 constexpr int kFirstEntry = 10;
 constexpr std::uint16_t kCallersPort = 8'000;
 constexpr std::uint16_t kControlPort = 8'623;
-constexpr unsigned kOk = 200;
 
 std::string
 MakeNetwork()
@@ -120,8 +120,8 @@
   return WaitUntil([this, aIndex] {
     Pause(std::chrono::milliseconds(50));
     const auto even = Ask(aIndex, "GET", "", "");
-    return even && even->status_ == kOk && StateOf(aIndex, IdOf(1)) == "status 410" &&
-           StateOf(aIndex, IdOf(2)) == "status 410";
+    return even && even->status_ == quetzal::http::status::kOk &&
+           StateOf(aIndex, IdOf(1)) == "status 410" && StateOf(aIndex, IdOf(2)) == "status 410";
   });
 }
 
@@ -144,10 +144,10 @@
   int entry = 0;
   return WaitUntil([&] {
     const unsigned status = Submit(entry++ % entryHosts_, aId, aTasks, aLasting);
-    if (status != kOk) {
+    if (status != quetzal::http::status::kOk) {
       Pause(std::chrono::milliseconds(100));
     }
-    return status == kOk;
+    return status == quetzal::http::status::kOk;
   });
 }
 
@@ -155,7 +155,7 @@
 JobsDeployment::StateOf(int aEntry, const std::string& aId)
 {
   const auto answer = Ask(aEntry, "GET", aId, "");
-  if (!answer || answer->status_ != kOk) {
+  if (!answer || answer->status_ != quetzal::http::status::kOk) {
     return "status " + std::to_string(answer ? answer->status_ : 0);
   }
   const auto body = Body::Make(answer->body_);
--- a/tests/integration/JobsTest.cpp
+++ b/tests/integration/JobsTest.cpp
@@ -1,3 +1,4 @@
+#include "include/quetzal/http/Status.h"
 #include "tests/harness/JobsDeployment.h"
 
 #include <boost/test/unit_test.hpp>
@@ -8,13 +9,6 @@
 using namespace harness;
 using namespace std::chrono_literals;
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kGone = 410;
-constexpr unsigned kBodyTooLarge = 413;
-constexpr unsigned kUnavailable = 503;
-
 struct JobsFixture
 {
   JobsFixture()
@@ -54,12 +48,12 @@
 BOOST_AUTO_TEST_CASE(Jobs_HandedInAnywhere_CompleteOnceEach)
 {
   for (int i = 1; i <= 8; ++i) {
-    BOOST_TEST(jobs_.Submit(i % 3, JobsDeployment::IdOf(i), 5) == kOk);
+    BOOST_TEST(jobs_.Submit(i % 3, JobsDeployment::IdOf(i), 5) == quetzal::http::status::kOk);
   }
   WaitForAll(8, 0);
   for (int i = 1; i <= 8; ++i) {
     BOOST_TEST(jobs_.StartsOf(JobsDeployment::IdOf(i)) == 5);
-    BOOST_TEST(jobs_.Submit((i + 1) % 3, JobsDeployment::IdOf(i), 5) == kOk);
+    BOOST_TEST(jobs_.Submit((i + 1) % 3, JobsDeployment::IdOf(i), 5) == quetzal::http::status::kOk);
   }
   Pause(300ms);
   BOOST_TEST(jobs_.StartsOf(JobsDeployment::IdOf(1)) == 5);
@@ -69,13 +63,14 @@
 BOOST_AUTO_TEST_CASE(Requests_ThatMakeNoSense_GetAClearAnswerAndStoreNothing)
 {
   const std::string id = JobsDeployment::IdOf(2);
-  BOOST_TEST(jobs_.SubmitBody(0, id, "") == kBadRequest);
-  BOOST_TEST(jobs_.SubmitBody(0, id, "\xc1\xff garbage") == kBadRequest);
-  BOOST_TEST(jobs_.SubmitBody(0, id, std::string(600 * 1024, 'x')) == kBodyTooLarge);
-  BOOST_TEST(jobs_.Submit(0, id, 0) == kBadRequest);
-  BOOST_TEST(jobs_.Submit(0, "short2", 1) == kBadRequest);
-  BOOST_TEST(jobs_.StateOf(0, id) == "status " + std::to_string(kGone));
-  BOOST_TEST(jobs_.Cancel(0, id) == kGone);
+  BOOST_TEST(jobs_.SubmitBody(0, id, "") == quetzal::http::status::kBadRequest);
+  BOOST_TEST(jobs_.SubmitBody(0, id, "\xc1\xff garbage") == quetzal::http::status::kBadRequest);
+  BOOST_TEST(jobs_.SubmitBody(0, id, std::string(600 * 1024, 'x')) ==
+             quetzal::http::status::kBodyTooLarge);
+  BOOST_TEST(jobs_.Submit(0, id, 0) == quetzal::http::status::kBadRequest);
+  BOOST_TEST(jobs_.Submit(0, "short2", 1) == quetzal::http::status::kBadRequest);
+  BOOST_TEST(jobs_.StateOf(0, id) == "status " + std::to_string(quetzal::http::status::kGone));
+  BOOST_TEST(jobs_.Cancel(0, id) == quetzal::http::status::kGone);
   Request nowhere;
   nowhere.method_ = "GET";
   nowhere.target_ = "/nowhere/";
@@ -85,9 +80,9 @@
 BOOST_AUTO_TEST_CASE(Job_Cancelled_StopsAndStaysSo)
 {
   const std::string id = JobsDeployment::IdOf(2);
-  BOOST_TEST(jobs_.Submit(0, id, 3, true) == kOk);
+  BOOST_TEST(jobs_.Submit(0, id, 3, true) == quetzal::http::status::kOk);
   BOOST_TEST(WaitUntil([&] { return jobs_.StartsOf(id) == 3; }));
-  BOOST_TEST(jobs_.Cancel(1, id) == kOk);
+  BOOST_TEST(jobs_.Cancel(1, id) == quetzal::http::status::kOk);
   BOOST_TEST(jobs_.StateOf(2, id) == "cancelled");
   BOOST_TEST(WaitUntil([&] {
     Pause(50ms);
@@ -117,7 +112,7 @@
 BOOST_AUTO_TEST_CASE(EntryHosts_AllKilledAtOnce_GoOnWhereTheyWere)
 {
   SubmitAll(4, 6);
-  BOOST_TEST(jobs_.Submit(0, JobsDeployment::IdOf(20), 3, true) == kOk);
+  BOOST_TEST(jobs_.Submit(0, JobsDeployment::IdOf(20), 3, true) == quetzal::http::status::kOk);
   BOOST_TEST(WaitUntil([&] { return jobs_.StartsOf(JobsDeployment::IdOf(20)) == 3; }));
   for (int entry = 0; entry < 3; ++entry) {
     jobs_.Entry(entry).Signal(SIGKILL);
@@ -134,7 +129,7 @@
 
 BOOST_AUTO_TEST_CASE(EntryHosts_StoppedInTurn_HandTheirCellsOver)
 {
-  BOOST_TEST(jobs_.Submit(0, JobsDeployment::IdOf(20), 3, true) == kOk);
+  BOOST_TEST(jobs_.Submit(0, JobsDeployment::IdOf(20), 3, true) == quetzal::http::status::kOk);
   BOOST_TEST(WaitUntil([&] { return jobs_.StartsOf(JobsDeployment::IdOf(20)) == 3; }));
   for (int entry = 0; entry < 3; ++entry) {
     jobs_.Entry(entry).Signal(SIGTERM);
@@ -159,11 +154,12 @@
 
 BOOST_AUTO_TEST_CASE(Store_Away_JobsAreRefusedAndRunningOnesGoOn)
 {
-  BOOST_TEST(jobs_.Submit(0, JobsDeployment::IdOf(2), 3, true) == kOk);
+  BOOST_TEST(jobs_.Submit(0, JobsDeployment::IdOf(2), 3, true) == quetzal::http::status::kOk);
   BOOST_TEST(WaitUntil([&] { return jobs_.StartsOf(JobsDeployment::IdOf(2)) == 3; }));
   jobs_.Control("/store?mood=refusing");
-  BOOST_TEST(
-    WaitUntil([&] { return jobs_.Submit(0, JobsDeployment::IdOf(4), 1) == kUnavailable; }));
+  BOOST_TEST(WaitUntil([&] {
+    return jobs_.Submit(0, JobsDeployment::IdOf(4), 1) == quetzal::http::status::kUnavailable;
+  }));
   Pause(1'500ms);
   jobs_.Control("/store?mood=well");
   BOOST_TEST(jobs_.SubmitUntilAccepted(JobsDeployment::IdOf(6), 2));
@@ -200,7 +196,7 @@
 BOOST_AUTO_TEST_CASE(Worker_Reborn_ItsTasksStartAgain)
 {
   const std::string id = JobsDeployment::IdOf(2);
-  BOOST_TEST(jobs_.Submit(0, id, 3, true) == kOk);
+  BOOST_TEST(jobs_.Submit(0, id, 3, true) == quetzal::http::status::kOk);
   BOOST_TEST(WaitUntil([&] { return jobs_.StartsOf(id) == 3; }));
   for (int worker = 0; worker < 6; worker += 2) {
     jobs_.Control("/reboot?worker=" + std::to_string(worker));
