--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -114,9 +114,6 @@
   /** Returns how many jobs have not ended. */
   std::size_t LiveJobs() const;
 
-  /** Tells whether the cell knows the job. */
-  bool Knows(const std::string& aId) const { return jobs_.contains(aId); }
-
   CellReport Report();
 
   /** From now on nothing is started on these workers, and on no others is starting barred. */
@@ -194,6 +191,7 @@
                  const std::vector<Row*>& aRows,
                  clock::Moment aNow);
   void StartTask(jobs::Job& aJob, const jobs::TaskId& aTask, std::int64_t aRun, Row& aRow);
+  bool NeedsTicket(const jobs::Job& aJob) const;
   void AskTickets(const std::string& aStep);
   std::string TicketFor(const jobs::TaskId& aTask, const std::string& aWorker) const;
   void PlaceCopies(std::vector<placement::Candidate>& aCandidates,
--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -67,7 +67,6 @@
 
   const workers::Registration& Registration() const { return registration_; }
   const workers::Book& Book() const { return book_; }
-  clock::Moment AvoidedUntil() const { return avoidedUntil_; }
 
   /** Starts nothing here for a time. */
   void Avoid(clock::Milliseconds aTime);
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -62,6 +62,7 @@
   void BeginFleet(const ClaimedCell& aClaimed);
   void DropCell(const std::string& aCell);
   void DropAll();
+  void DropFleet();
   void CheckOwners();
   std::vector<std::string> WantedCells() const;
   jobs::OwnerRecord SelfRecord() const;
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -4,7 +4,6 @@
 #include "include/quetzal/log/Log.h"
 
 #include <algorithm>
-#include <array>
 
 /** Ends of runs and jobs: what they change, what is stored of them, and when workers may forget. */
 
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -5,6 +5,7 @@
 #include "include/quetzal/placement/Speculation.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 /** Which of a cell's tasks are started where, and which are started twice. */
@@ -34,6 +35,29 @@
   });
 }
 
+/** Counts the tasks of a step, copies included, on each candidate. Not counted where the step sets
+ * no bound on them. */
+placement::StepUse
+UseOf(const jobs::StepSpec& aSpec,
+      const std::vector<jobs::TaskState>& aTasks,
+      const std::vector<placement::Candidate>& aCandidates)
+{
+  placement::StepUse use;
+  use.tasksOn_.assign(aCandidates.size(), 0);
+  if (aSpec.mostPerWorker_ <= 0) {
+    return use;
+  }
+  for (const jobs::TaskState& task : aTasks) {
+    for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+      const std::string& worker = aCandidates[i].id_;
+      const bool isOn = task.phase_ == jobs::TaskPhase::kPlaced &&
+                        (task.worker_ == worker || task.copyWorker_ == worker);
+      use.tasksOn_[i] += isOn ? 1 : 0;
+    }
+  }
+  return use;
+}
+
 } // namespace
 
 void
@@ -157,21 +181,10 @@
     return PlaceGang(aJob, aOccurrence, aStep, aCandidates, aRows, aNow) ? 1 : 0;
   }
   auto& tasks = aJob.live_.at(aOccurrence).steps_.at(static_cast<std::size_t>(aStep)).tasks_;
-  placement::StepUse use;
-  use.tasksOn_.assign(aCandidates.size(), 0);
-  if (spec.mostPerWorker_ > 0) {
-    for (const jobs::TaskState& task : tasks) {
-      for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-        const bool isOn = task.phase_ == jobs::TaskPhase::kPlaced &&
-                          (task.worker_ == aCandidates[i].id_ ||
-                           (task.copyRun_ != 0 && task.copyWorker_ == aCandidates[i].id_));
-        use.tasksOn_[i] += isOn ? 1 : 0;
-      }
-    }
-  }
-  const jobs::Queue* queue = jobs::FindQueueByName(context_.feed_->Configuration(), aJob.queue_);
-  if (queue != nullptr && queue->advice_) {
-    const std::string step = jobs::StepName(aJob.id_, aOccurrence, aStep);
+  placement::StepUse use = UseOf(spec, tasks, aCandidates);
+  const std::string step = jobs::StepName(aJob.id_, aOccurrence, aStep);
+  const bool needsTicket = NeedsTicket(aJob);
+  if (needsTicket) {
     const Tickets::ByWorker* tickets = tickets_.Find(step, aNow);
     if (tickets == nullptr) {
       AskTickets(step);
@@ -196,9 +209,8 @@
     StartTask(aJob, { aJob.id_, aOccurrence, aStep, i }, nextRun_++, *aRows[*chosen]);
     ++placed;
   }
-  if (!use.barredOn_.empty() && aJob.waiting_ > 0) {
-    AskTickets(
-      jobs::StepName(aJob.id_, aOccurrence, aStep)); // Workers that have come since may do.
+  if (needsTicket && aJob.waiting_ > 0) {
+    AskTickets(step); // Workers that have come since may do.
   }
   return placed;
 }
@@ -258,6 +270,13 @@
   aRow.worker_->Start(order, placement::MakeSlot(spec, aRun, workers::SlotState::kOrdered, Now()));
 }
 
+bool
+Cell::NeedsTicket(const jobs::Job& aJob) const
+{
+  const jobs::Queue* queue = jobs::FindQueueByName(context_.feed_->Configuration(), aJob.queue_);
+  return queue != nullptr && queue->advice_.has_value();
+}
+
 workers::StartOrder
 Cell::OrderFor(jobs::Job& aJob,
                const jobs::TaskId& aTask,
@@ -354,25 +373,17 @@
 {
   const jobs::StepSpec& spec = aJob.spec_.steps_.at(static_cast<std::size_t>(aStep));
   jobs::StepState& step = aJob.live_.at(aOccurrence).steps_.at(static_cast<std::size_t>(aStep));
+  const bool needsTicket = NeedsTicket(aJob);
   for (int i = 0; i < static_cast<int>(step.tasks_.size()); ++i) {
     const jobs::TaskState& task = step.tasks_[static_cast<std::size_t>(i)];
     if (!MayCopy(aJob, step, spec, task, aNow)) {
       continue;
     }
     const jobs::TaskId id{ aJob.id_, aOccurrence, aStep, i };
-    const jobs::Queue* queue = jobs::FindQueueByName(context_.feed_->Configuration(), aJob.queue_);
-    const bool needsTicket = queue != nullptr && queue->advice_;
-    placement::StepUse use;
-    use.tasksOn_.assign(aCandidates.size(), 0);
-    for (std::size_t c = 0; c < aCandidates.size(); ++c) {
-      const std::string& worker = aCandidates[c].id_;
-      use.barredOn_.push_back(worker == task.worker_ ||
-                              (needsTicket && TicketFor(id, worker).empty()));
-      for (const jobs::TaskState& other : step.tasks_) {
-        const bool isOn = other.phase_ == jobs::TaskPhase::kPlaced &&
-                          (other.worker_ == worker || other.copyWorker_ == worker);
-        use.tasksOn_[c] += isOn ? 1 : 0;
-      }
+    placement::StepUse use = UseOf(spec, step.tasks_, aCandidates);
+    for (const placement::Candidate& candidate : aCandidates) {
+      use.barredOn_.push_back(candidate.id_ == task.worker_ ||
+                              (needsTicket && TicketFor(id, candidate.id_).empty()));
     }
     const auto chosen = placement::ChooseWorker(spec, aCandidates, use);
     if (!chosen) {
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -263,6 +263,12 @@
     claim->deleteLater();
   }
   claims_.clear();
+  DropFleet();
+}
+
+void
+NodeProcess::DropFleet()
+{
   if (fleet_ != nullptr) {
     fleet_->Stop();
     fleet_->deleteLater();
@@ -284,9 +290,7 @@
   }
   if (fleet_ != nullptr && membership_.CellRevision(kFleetCell) > fleetKeyRevision_) {
     log::Warn("node", "event=fleet-dropped");
-    fleet_->Stop();
-    fleet_->deleteLater();
-    fleet_ = nullptr;
+    DropFleet();
   }
 }
 
@@ -619,8 +623,7 @@
     Release(CellKey(kFleetCell),
             fleetKeyRevision_,
             { { kFleetHandOverKey, jobs::Encode(fleet_->HandOver()), 0 } });
-    fleet_->deleteLater();
-    fleet_ = nullptr;
+    DropFleet();
   }
   ReleaseQuiet();
   if (cells_.empty() && !handedOver_) {
