--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -17,7 +17,8 @@
 /** Writes that wait while progress is still handed to the writer. */
 constexpr std::size_t kMostBacklog = 10;
 constexpr clock::Milliseconds kEndDelay{ 12 };
-constexpr clock::Milliseconds kHouseInterval{ 200 };
+/** How long removals of ended jobs are gathered. */
+constexpr clock::Milliseconds kRemovalDelay{ 200 };
 /** How long a task waits after a worker refused its start. */
 constexpr clock::Milliseconds kRefusedPause{ 60 };
 /** Weight of one task's duration in what is learned of estimates. */
@@ -305,7 +306,7 @@
     }
     CellWrite write;
     write.removes_.push_back(JobKey(row->first));
-    writer_.Add(std::move(write), kHouseInterval);
+    writer_.Add(std::move(write), kRemovalDelay);
     row = jobs_.erase(row);
     ++removed;
   }
--- a/tests/integration/JobsTest.cpp
+++ b/tests/integration/JobsTest.cpp
@@ -193,6 +193,24 @@
   CheckNothingRanTwice();
 }
 
+BOOST_AUTO_TEST_CASE(Worker_LookCannotBeRead_ItsTasksAreNotTakenForGone)
+{
+  // More than one worker holds, so that there is another one to start them on.
+  constexpr int kTasks = 60;
+  const std::string id = JobsDeployment::IdOf(2);
+  BOOST_TEST(jobs_.Submit(0, id, kTasks, true) == quetzal::http::status::kOk);
+  BOOST_TEST(WaitUntil([&] { return jobs_.StartsOf(id) == kTasks; }));
+  Pause(500ms); // A look has renewed the leases, which begin with the start's own short time.
+  for (int worker = 0; worker < 6; worker += 2) {
+    jobs_.Control("/garble?on=1&worker=" + std::to_string(worker));
+    Pause(700ms);
+    jobs_.Control("/garble?on=0&worker=" + std::to_string(worker));
+    Pause(300ms);
+  }
+  BOOST_TEST(jobs_.StartsOf(id) == kTasks);
+  CheckNothingRanTwice();
+}
+
 BOOST_AUTO_TEST_CASE(Worker_Reborn_ItsTasksStartAgain)
 {
   const std::string id = JobsDeployment::IdOf(2);
