No lookups of system proxies for connections

Cause: each QTcpSocket that connects to an address beyond loopback asks libproxy, on a thread of its own, for the system's proxies. Under load this took a third of the processor time of a large cell's owner, which then answered neither callers nor its peers in time.

Change: process::Application, which all programs use, turns the lookup off.

--- a/bench/BareServer.cpp
+++ b/bench/BareServer.cpp
@@ -1,5 +1,6 @@
 /** bench-bare-server: QAbstractHttpServer with a trivial handler, as a baseline for throughput. */
 
+#include "include/quetzal/process/Application.h"
 #include "include/quetzal/process/StopSignals.h"
 
 #include <QtCore/QCoreApplication>
@@ -27,7 +28,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  const QCoreApplication application(aCount, aArguments);
+  const quetzal::process::Application application(aCount, aArguments);
   TCLAP::CmdLine line("Answers every request alike.", ' ', "0.1.0");
   TCLAP::ValueArg<std::string> address("a", "address", "IP address", true, "", "address", line);
   line.parse(aCount, aArguments);
--- a/bench/Jobs.cpp
+++ b/bench/Jobs.cpp
@@ -2,6 +2,7 @@
  * rate of jobs without faults, by numbers of jobs, workers and entry hosts, on the stand-in for the
  * users' platform. */
 
+#include "include/quetzal/process/Application.h"
 #include "tests/harness/JobsDeployment.h"
 
 #include <QtCore/QCoreApplication>
@@ -91,7 +92,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  QCoreApplication application(aCount, aArguments);
+  quetzal::process::Application application(aCount, aArguments);
   std::cout << "hosts workers jobs/s accepted  mean_cpu  max_cpu  max_MB  calls/s  looks/s\n";
   for (const Case& one : { Case{ 4, 20, 0 },
                            Case{ 4, 20, 10 },
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -2,6 +2,7 @@
  * every accepted job completes, that no task runs twice at once or again after its completion, and
  * that no refused job runs. Exits with 1 if a check fails. */
 
+#include "include/quetzal/process/Application.h"
 #include "tests/harness/JobsDeployment.h"
 
 #include <QtCore/QCoreApplication>
@@ -171,7 +172,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  QCoreApplication application(aCount, aArguments);
+  quetzal::process::Application application(aCount, aArguments);
   try {
     TCLAP::CmdLine line("Runs entry hosts under random faults.", ' ', "0.1.0");
     TCLAP::ValueArg<unsigned> seed("s", "seed", "First seed", false, 1, "number", line);
--- a/src/bin/Entryd.cpp
+++ b/src/bin/Entryd.cpp
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/entry/EntryProcess.h"
 #include "include/quetzal/log/Log.h"
+#include "include/quetzal/process/Application.h"
 #include "include/quetzal/process/StopSignals.h"
 
 #include <QtCore/QCoreApplication>
@@ -30,7 +31,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  QCoreApplication application(aCount, aArguments);
+  quetzal::process::Application application(aCount, aArguments);
   try {
     TCLAP::CmdLine line("Serves callers on one entry host.", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> settings(
--- a/src/bin/Quetzalctl.cpp
+++ b/src/bin/Quetzalctl.cpp
@@ -3,6 +3,7 @@
 #include "include/quetzal/document/DocumentQueries.h"
 #include "include/quetzal/fleet/Effect.h"
 #include "include/quetzal/platform/EtcdStore.h"
+#include "include/quetzal/process/Application.h"
 #include "include/quetzal/process/StopSignals.h"
 #include "include/quetzal/promote/Promotion.h"
 #include "include/quetzal/promote/TrialReport.h"
@@ -152,7 +153,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  const QCoreApplication application(aCount, aArguments);
+  const quetzal::process::Application application(aCount, aArguments);
   try {
     return Execute(ParseOptions(aCount, aArguments));
   } catch (const SettingsError& error) {
--- a/standins/backend/Main.cpp
+++ b/standins/backend/Main.cpp
@@ -1,5 +1,6 @@
 /** standin-backend: stand-in for one backend server, for tests and the demo. */
 
+#include "include/quetzal/process/Application.h"
 #include "include/quetzal/process/StopSignals.h"
 #include "standins/backend/BackendServer.h"
 
@@ -19,7 +20,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  const QCoreApplication application(aCount, aArguments);
+  const quetzal::process::Application application(aCount, aArguments);
   try {
     TCLAP::CmdLine line("Stands in for a backend server.", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> name("n", "name", "Name in reports", true, "", "name", line);
--- a/standins/load/Main.cpp
+++ b/standins/load/Main.cpp
@@ -1,6 +1,7 @@
 /** quetzal-load: sends load to entry hosts and checks outcomes against the backend servers'
  * records. */
 
+#include "include/quetzal/process/Application.h"
 #include "include/quetzal/process/StopSignals.h"
 #include "standins/load/LoadRun.h"
 
@@ -159,7 +160,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  const QCoreApplication application(aCount, aArguments);
+  const quetzal::process::Application application(aCount, aArguments);
   try {
     TCLAP::CmdLine line("Sends load to entry hosts.", ' ', "0.1.0");
     TCLAP::MultiArg<std::string> targets("t", "target", "Entry host", true, "address", line);
--- a/standins/platform/Main.cpp
+++ b/standins/platform/Main.cpp
@@ -2,6 +2,7 @@
  * demo. */
 
 #include "include/quetzal/log/Log.h"
+#include "include/quetzal/process/Application.h"
 #include "include/quetzal/process/StopSignals.h"
 #include "standins/platform/PlatformServer.h"
 
@@ -12,7 +13,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  const QCoreApplication application(aCount, aArguments);
+  const quetzal::process::Application application(aCount, aArguments);
   try {
     TCLAP::CmdLine line("Stands in for the platform.", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> address("a", "address", "IP address", true, "", "address", line);
--- a/standins/proxy/Main.cpp
+++ b/standins/proxy/Main.cpp
@@ -1,5 +1,6 @@
 /** standin-proxy: a fault-injecting TCP proxy in front of one address. */
 
+#include "include/quetzal/process/Application.h"
 #include "include/quetzal/process/StopSignals.h"
 #include "standins/proxy/FaultProxy.h"
 
@@ -10,7 +11,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  const QCoreApplication application(aCount, aArguments);
+  const quetzal::process::Application application(aCount, aArguments);
   try {
     TCLAP::CmdLine line("Injects faults between two ends.", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> address("a", "address", "IP address", true, "", "address", line);
--- a/tests/harness/Application.h
+++ b/tests/harness/Application.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <QtCore/QCoreApplication>
+#include "include/quetzal/process/Application.h"
 
 namespace harness {
 
@@ -15,7 +15,7 @@
   int count_ = 1;
   char name_[6] = "tests";
   char* arguments_[2] = { name_, nullptr };
-  QCoreApplication application_;
+  quetzal::process::Application application_;
 };
 
 } // namespace harness
