Addresses of registrations are read without YAML; bench-jobs loads one cell

Cause: ParseEndpoint built and parsed a YAML document for each address, and an owner reads the address of every registration that changes, some 730 a second on a fleet of 1,100 workers.

Change: settings::ReadEndpoint reads an address directly; the command line and settings use it too, with the same errors. bench-jobs sends its load without waiting for answers, to one queue, so that one cell owns all of it, and prints the processor time of the busiest host a start; -w chooses cases.

--- a/bench/Jobs.cpp
+++ b/bench/Jobs.cpp
@@ -2,6 +2,7 @@
  * rate of jobs without faults, by numbers of jobs, workers and entry hosts, on the stand-in for the
  * users' platform. */
 
+#include "include/quetzal/http/Status.h"
 #include "include/quetzal/process/Application.h"
 #include "tests/harness/JobsDeployment.h"
 
@@ -10,6 +11,7 @@
 #include <algorithm>
 #include <iomanip>
 #include <iostream>
+#include <tclap/CmdLine.h>
 
 namespace {
 
@@ -17,6 +19,7 @@
 
 constexpr int kTaskMs = 300;
 constexpr int kTasksOfJob = 8;
+constexpr int kFirstJob = 1'000;
 constexpr qint64 kMeasuredMs = 8'000;
 constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
 
@@ -27,24 +30,28 @@
   int jobsPerSecond_ = 0;
 };
 
-/** Submits jobs at a constant rate. Returns how many were accepted. */
+/** Submits jobs of one queue at a constant rate, so that one cell owns all of them, and waits for
+ * all answers. Returns how many were accepted. */
 int
-Load(JobsDeployment& aJobs, const Case& aCase, int& aNext)
+Load(JobsDeployment& aJobs, const Case& aCase)
 {
   QElapsedTimer timer;
   timer.start();
-  int accepted = 0;
-  int sent = 0;
+  std::vector<std::unique_ptr<Call>> calls;
   while (timer.elapsed() < kMeasuredMs) {
+    const auto sent = static_cast<qint64>(calls.size());
     if (sent * 1'000 > timer.elapsed() * aCase.jobsPerSecond_) {
       Pause(std::chrono::milliseconds(2));
       continue;
     }
-    ++sent;
-    const std::string id = JobsDeployment::IdOf(aNext++);
-    accepted += aJobs.Submit(sent % aCase.entryHosts_, id, kTasksOfJob) == 200 ? 1 : 0;
+    const int entry = static_cast<int>(sent) % aCase.entryHosts_;
+    const int number = kFirstJob + 2 * static_cast<int>(sent);
+    calls.push_back(aJobs.BeginSubmit(entry, JobsDeployment::IdOf(number), kTasksOfJob));
   }
-  return accepted;
+  return static_cast<int>(std::count_if(calls.begin(), calls.end(), [](const auto& aCall) {
+    const auto& answer = aCall->Wait();
+    return answer && answer->status_ == quetzal::http::status::kOk;
+  }));
 }
 
 void
@@ -54,7 +61,6 @@
   for (int i = 0; i < aCase.entryHosts_; ++i) {
     jobs.WaitUntilServing(i);
   }
-  int next = 1'000;
   std::vector<std::chrono::milliseconds> before;
   before.reserve(static_cast<std::size_t>(aCase.entryHosts_));
   for (int i = 0; i < aCase.entryHosts_; ++i) {
@@ -62,7 +68,7 @@
   }
   const std::int64_t callsBefore = jobs.CountOf("store-calls");
   const std::int64_t looksBefore = jobs.CountOf("looks");
-  const int accepted = aCase.jobsPerSecond_ > 0 ? Load(jobs, aCase, next) : 0;
+  const int accepted = aCase.jobsPerSecond_ > 0 ? Load(jobs, aCase) : 0;
   if (aCase.jobsPerSecond_ == 0) {
     Pause(std::chrono::milliseconds(kMeasuredMs));
   }
@@ -93,18 +99,18 @@
 main(int aCount, char** aArguments)
 {
   quetzal::process::Application application(aCount, aArguments);
-  std::cout << "hosts workers jobs/s accepted  mean_cpu  max_cpu  max_MB  calls/s  looks/s\n";
-  for (const Case& one : { Case{ 4, 20, 0 },
-                           Case{ 4, 20, 10 },
-                           Case{ 4, 20, 20 },
-                           Case{ 4, 20, 40 },
-                           Case{ 4, 80, 0 },
-                           Case{ 4, 80, 20 },
-                           Case{ 4, 320, 0 },
-                           Case{ 4, 320, 20 },
-                           Case{ 8, 80, 20 },
-                           Case{ 16, 80, 20 } }) {
-    Measure(one);
+  TCLAP::CmdLine line("Measures what jobs cost each process.", ' ', "0.1.0");
+  TCLAP::ValueArg<int> only("w", "workers", "Only cases with this many", false, 0, "count", line);
+  line.parse(aCount, aArguments);
+  std::cout
+    << "hosts workers jobs/s accepted  mean_cpu  max_cpu  max_MB  calls/s  looks/s  ms/start\n";
+  const std::vector<Case> cases{ { 4, 20, 0 },   { 4, 20, 40 },   { 4, 80, 0 },  { 4, 80, 40 },
+                                 { 4, 80, 120 }, { 4, 266, 120 }, { 4, 600, 0 }, { 4, 600, 120 },
+                                 { 8, 80, 40 },  { 16, 80, 40 } };
+  for (const Case& one : cases) {
+    if (only.getValue() == 0 || only.getValue() == one.workers_) {
+      Measure(one);
+    }
   }
   return 0;
 }
--- a/include/quetzal/settings/Node.h
+++ b/include/quetzal/settings/Node.h
@@ -52,6 +52,10 @@
 std::string
 ReadFile(const std::string& aFile);
 
+/** Reads an IP address and a port, such as "10.0.0.1:8080". */
+std::optional<Endpoint>
+ReadEndpoint(const std::string& aText);
+
 /** Parses an address and port given on the command line. @param aKey the option, for errors.
  * @throws SettingsError. */
 Endpoint
--- a/src/settings/Node.cpp
+++ b/src/settings/Node.cpp
@@ -2,6 +2,7 @@
 
 #include <QtNetwork/QHostAddress>
 #include <algorithm>
+#include <charconv>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -10,6 +11,8 @@
 namespace quetzal::settings {
 namespace {
 
+constexpr const char* kEndpointForm = "an IP address and a port, such as 10.0.0.1:8080";
+
 std::string
 Describe(const std::string& aFile, int aLine, const std::string& aKey, const std::string& aExpected)
 {
@@ -71,11 +74,31 @@
   return text.str();
 }
 
+std::optional<Endpoint>
+ReadEndpoint(const std::string& aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  std::uint16_t port = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
+  const QHostAddress address(QString::fromStdString(aText.substr(0, colon)));
+  if (parsed.ec != std::errc() || parsed.ptr != end || port == 0 || address.isNull()) {
+    return std::nullopt;
+  }
+  return Endpoint{ aText.substr(0, colon), port };
+}
+
 Endpoint
 ParseEndpoint(const std::string& aKey, const std::string& aText)
 {
-  const std::string yaml = aKey + ": \"" + aText + "\"";
-  return Node::MakeFromText(yaml, "command line").Required(aKey).Address();
+  const auto endpoint = ReadEndpoint(aText);
+  if (!endpoint) {
+    throw SettingsError("command line", 1, aKey, kEndpointForm);
+  }
+  return *endpoint;
 }
 
 Node::Node(std::shared_ptr<const YAML::Node> aNode, std::string aFile, std::string aPath)
@@ -236,19 +259,11 @@
 Endpoint
 Node::Address() const
 {
-  static constexpr int kMaxPort = 65535;
-  const std::string text = Text();
-  const auto colon = text.rfind(':');
-  bool isPort = false;
-  int port = 0;
-  if (colon != std::string::npos) {
-    port = QString::fromStdString(text.substr(colon + 1)).toInt(&isPort);
-  }
-  const QHostAddress address(QString::fromStdString(text.substr(0, colon)));
-  if (!isPort || port < 1 || port > kMaxPort || address.isNull()) {
-    throw Error("an IP address and a port, such as 10.0.0.1:8080");
+  const auto endpoint = ReadEndpoint(Text());
+  if (!endpoint) {
+    throw Error(kEndpointForm);
   }
-  return { text.substr(0, colon), static_cast<std::uint16_t>(port) };
+  return *endpoint;
 }
 
 std::int64_t
--- a/tests/harness/JobsDeployment.cpp
+++ b/tests/harness/JobsDeployment.cpp
@@ -98,11 +98,11 @@
     std::make_unique<Process>("quetzal-jobd", std::vector<std::string>{ "-s", file.toStdString() });
 }
 
-std::optional<Response>
-JobsDeployment::Ask(int aEntry,
-                    const std::string& aMethod,
-                    const std::string& aId,
-                    const std::string& aBody)
+std::unique_ptr<Call>
+JobsDeployment::Begin(int aEntry,
+                      const std::string& aMethod,
+                      const std::string& aId,
+                      const std::string& aBody)
 {
   Request request;
   request.method_ = aMethod;
@@ -111,7 +111,16 @@
   request.target_ = (isEven ? "/alpha/" : "/beta/") + aId;
   request.fields_ = { { "Host", "jobs.example" }, { "X-Quetzalwheel-Deadline", "3000" } };
   request.body_ = aBody;
-  return Send({ EntryAddress(aEntry), kCallersPort }, request);
+  return std::make_unique<Call>(Endpoint{ EntryAddress(aEntry), kCallersPort }, request);
+}
+
+std::optional<Response>
+JobsDeployment::Ask(int aEntry,
+                    const std::string& aMethod,
+                    const std::string& aId,
+                    const std::string& aBody)
+{
+  return Begin(aEntry, aMethod, aId, aBody)->Wait();
 }
 
 bool
@@ -138,6 +147,12 @@
   return answer ? answer->status_ : 0;
 }
 
+std::unique_ptr<Call>
+JobsDeployment::BeginSubmit(int aEntry, const std::string& aId, int aTasks)
+{
+  return Begin(aEntry, "POST", aId, JobBody(aTasks, false));
+}
+
 bool
 JobsDeployment::SubmitUntilAccepted(const std::string& aId, int aTasks, bool aLasting)
 {
--- a/tests/harness/JobsDeployment.h
+++ b/tests/harness/JobsDeployment.h
@@ -23,6 +23,8 @@
 
   /** Submits a job. @return the status; 0 where the connection ended without an answer. */
   unsigned Submit(int aEntry, const std::string& aId, int aTasks, bool aLasting = false);
+  /** Submits a job without waiting for the answer. */
+  std::unique_ptr<Call> BeginSubmit(int aEntry, const std::string& aId, int aTasks);
   /** Submits a job to one entry host after another until one accepts the job. */
   bool SubmitUntilAccepted(const std::string& aId, int aTasks, bool aLasting = false);
   unsigned SubmitBody(int aEntry, const std::string& aId, const std::string& aBody);
@@ -48,6 +50,10 @@
 private:
   std::string EntryAddress(int aIndex) const;
   std::string SettingsText(int aIndex) const;
+  std::unique_ptr<Call> Begin(int aEntry,
+                              const std::string& aMethod,
+                              const std::string& aId,
+                              const std::string& aBody);
   std::optional<Response> Ask(int aEntry,
                               const std::string& aMethod,
                               const std::string& aId,
