Placement rounds look only at jobs with waiting tasks; ended jobs are kept apart

Cause: each round, up to 125 a second, walked all jobs of the last 120 s, sorted all waiting ones with their remaining work computed anew, built a candidate with two texts and three walks over its runs for each worker, and compared each task with all candidates. Each finished poll, 1,600 a second, walked all workers for the roster.

Change: jobs/JobRegistry keeps ended jobs as their end only, and names the jobs with waiting tasks and those that may get copies. The critical path of what is left is kept with the job. Workers count their special runs. Candidates refer to the registration's texts. The next task of a step stays on the worker of the last one while that has room, which a property test compares with the choice among all (300 random steps). The order of jobs is a heap. The roster is walked only after a worker was added.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -4,7 +4,7 @@
 #include "include/quetzal/cells/PlacementTickets.h"
 #include "include/quetzal/cells/Worker.h"
 #include "include/quetzal/fleet/Forecast.h"
-#include "include/quetzal/jobs/JobTable.h"
+#include "include/quetzal/jobs/JobRegistry.h"
 #include "include/quetzal/metrics/Registry.h"
 #include "include/quetzal/node/PlatformState.h"
 #include "include/quetzal/placement/Placement.h"
@@ -13,6 +13,7 @@
 #include <QtCore/QTimer>
 #include <functional>
 #include <map>
+#include <tuple>
 
 namespace quetzal::cells {
 
@@ -177,9 +178,18 @@
   void UpdateFailureScore(WorkerEntry& aEntry, jobs::EndKind aKind);
   void RecordDuration(jobs::Job& aJob, const jobs::TaskId& aTask, clock::Moment aPlacedAt);
 
+  /** A job with waiting tasks, and its place in the order of placement. */
+  struct WaitingJob
+  {
+    using Key = std::tuple<bool, int, bool, bool, clock::Moment>;
+
+    Key key_; ///< Jobs with lower keys come first.
+    jobs::Job* job_ = nullptr;
+  };
+
   void SchedulePlacement();
   void PlaceTasks();
-  std::vector<jobs::Job*> JobsInOrder(clock::Moment aNow);
+  std::vector<WaitingJob> WaitingJobs(clock::Moment aNow) const;
   std::vector<placement::Candidate> Candidates(std::vector<WorkerEntry*>& aEntries) const;
   bool PlaceJob(jobs::Job& aJob,
                 std::vector<placement::Candidate>& aCandidates,
@@ -242,7 +252,7 @@
   std::int64_t fence_;
   std::int64_t nextRun_;
   CellWriter writer_;
-  std::map<std::string, jobs::Job> jobs_;
+  jobs::JobRegistry jobs_;
   std::map<std::string, WorkerEntry> workers_;
   /** Waiting callers by job, until the job is stored. */
   std::map<std::string, std::vector<AnswerCallback>> submitting_;
@@ -256,6 +266,7 @@
   std::deque<fleet::Arrival> arrivals_;
   double estimateBias_ = 1; ///< Moving average of tasks' durations as multiples of their estimates.
   clock::Moment startedAt_;
+  bool rosterIsComplete_ = true; ///< A roster with every worker has been given to the writer.
   bool handingOver_ = false;
   bool ownershipLost_ = false;
   QTimer placementTimer_;
--- a/include/quetzal/jobs/JobTable.h
+++ b/include/quetzal/jobs/JobTable.h
@@ -59,7 +59,6 @@
   JobSpec spec_;
   JobState state_ = JobState::kQueued;
   std::int64_t acceptedMs_ = 0; ///< Unix milliseconds.
-  std::int64_t endedMs_ = 0;    ///< Unix milliseconds; 0 while it has not ended.
   clock::Moment arrivedAt_{};
   std::map<int, Occurrence> liveOccurrences_;
   std::set<int> occurrencesDone_;
@@ -74,6 +73,7 @@
   int placedTasks_ = 0;
   double estimatedCoreSeconds_ = 0; ///< Estimated core-seconds of one repetition.
   clock::Milliseconds criticalPath_{ 0 };
+  clock::Milliseconds remainingPath_{ 0 }; ///< Critical path of the steps that are not done.
 };
 
 /** What the end of a run has changed. */
@@ -110,9 +110,9 @@
 bool
 IsUnblocked(const Job& aJob, const Occurrence& aOccurrence, int aStep);
 
-/** Recounts the tasks that could be placed now. */
+/** Computes again how many tasks could be placed now, and the critical path of what is left. */
 void
-CountWaiting(Job& aJob);
+Recount(Job& aJob);
 
 /** Marks a task as placed. */
 void
--- a/include/quetzal/placement/Placement.h
+++ b/include/quetzal/placement/Placement.h
@@ -5,16 +5,17 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /** Placement: selects the worker of each task. */
 namespace quetzal::placement {
 
-/** A worker on which tasks may be started now. */
+/** A worker on which tasks may be started now. The texts belong to the worker's registration. */
 struct Candidate
 {
-  std::string id_;
-  std::string rack_;
+  std::string_view id_;
+  std::string_view rack_;
   const std::vector<std::string>* labels_ = nullptr;
   workers::Capacity free_;
   bool hasLongRunning_ = false;
@@ -41,6 +42,15 @@
              const std::vector<Candidate>& aCandidates,
              const StepUse& aUse);
 
+/** Returns the candidate for the next task of a step, as ChooseWorker does. The candidate that got
+ * the step's last task has become fuller, and so stays the choice while it has room.
+ * @param aLast that candidate; nothing for the step's first task. */
+std::optional<std::size_t>
+ChooseNextWorker(const jobs::StepSpec& aStep,
+                 const std::vector<Candidate>& aCandidates,
+                 const StepUse& aUse,
+                 std::optional<std::size_t> aLast);
+
 /** Returns a candidate for every task of a gang; empty if not all of them fit. A gang that prefers
  * one rack is placed on one if any rack can hold it. */
 std::vector<std::size_t>
--- a/include/quetzal/workers/WorkerState.h
+++ b/include/quetzal/workers/WorkerState.h
@@ -39,6 +39,16 @@
   std::int64_t measurement_ = 0;
 };
 
+/** How many runs of each special kind a worker has. */
+struct RunCounts
+{
+  int longRunning_ = 0;
+  int latencySensitive_ = 0;
+  int bestEffort_ = 0;
+
+  bool operator==(const RunCounts&) const = default;
+};
+
 /** A worker's clock as last reported, and when this process received it. */
 struct ClockReading
 {
@@ -54,6 +64,7 @@
 {
   std::map<jobs::TaskId, Run> runs_;
   Capacity used_;
+  RunCounts counts_;
   std::optional<ClockReading> clock_;
   std::int64_t leaseEndMs_ = 0;      ///< Latest lease end sent, on the worker's clock.
   std::int64_t startedMs_ = 0;       ///< Unix time of the incarnation's start; 0: not known yet.
@@ -70,6 +81,10 @@
 bool
 RemoveRun(WorkerState& aState, const jobs::TaskId& aTask, std::int64_t aRun);
 
+/** Removes and returns all runs. */
+std::map<jobs::TaskId, Run>
+TakeRuns(WorkerState& aState);
+
 /** Returns an estimate of the worker's clock now; 0 if unknown. The estimate is ahead of the clock
  * by at most the clock's drift. */
 std::int64_t
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -91,13 +91,14 @@
   const std::size_t prefix = ProgressPrefix(service_).size();
   for (const store::KeyValue& item : aState.progress_) {
     jobs::ProgressRecord record;
-    const auto job = jobs_.find(item.key_.substr(prefix));
-    if (job == jobs_.end() || !jobs::Decode(item.value_, record)) {
+    jobs::Job* job = jobs_.Find(item.key_.substr(prefix));
+    if (job == nullptr || !jobs::Decode(item.value_, record)) {
       log::Warn("cell", "event=progress-ignored cell=", service_, " key=", item.key_);
       continue;
     }
-    jobs::ApplyProgress(job->second, record);
-    job->second.hasProgress_ = true;
+    jobs::ApplyProgress(*job, record);
+    job->hasProgress_ = true;
+    jobs_.Update(*job);
   }
   for (const jobs::RosterEntry& entry : aState.roster_) {
     workers::Registration registration;
@@ -113,7 +114,7 @@
             " fence=",
             fence_,
             " jobs=",
-            jobs_.size(),
+            jobs_.Live().size(),
             " roster=",
             aState.roster_.size());
 }
@@ -130,19 +131,20 @@
     return;
   }
   const std::string id = aItem.key_.substr(kJobPrefix.size());
+  const auto state = static_cast<jobs::JobState>(record.state_);
+  if (jobs::IsFinal(state)) {
+    jobs_.AddEnded(id, { state, record.timestampMs_ });
+    return;
+  }
   jobs::Job job = jobs::MakeJob(id, record.queue_, jobs::SpecOf(record));
-  job.state_ = static_cast<jobs::JobState>(record.state_);
+  job.state_ = state;
   job.stored_ = true;
   job.fromPredecessor_ = true;
-  if (jobs::IsFinal(job.state_)) {
-    job.endedMs_ = record.timestampMs_;
-  } else {
-    job.acceptedMs_ = record.timestampMs_;
-    const std::int64_t age = std::clamp<std::int64_t>(UnixMs() - record.timestampMs_, 0, 600'000);
-    job.arrivedAt_ = startedAt_ - clock::Milliseconds(age);
-    jobs::OpenDueOccurrences(job, UnixMs());
-  }
-  jobs_.emplace(id, std::move(job));
+  job.acceptedMs_ = record.timestampMs_;
+  const std::int64_t age = std::clamp<std::int64_t>(UnixMs() - record.timestampMs_, 0, 600'000);
+  job.arrivedAt_ = startedAt_ - clock::Milliseconds(age);
+  jobs::OpenDueOccurrences(job, UnixMs());
+  jobs_.Add(std::move(job));
 }
 
 void
@@ -190,6 +192,7 @@
                             this);
   const std::string id = aRegistration.id_;
   workers_[id].worker_ = worker;
+  rosterIsComplete_ = false;
   worker->SetCordoned(cordoned_.contains(id));
   connect(worker, &Worker::PollFinished, this, [this, id] {
     if (const auto entry = workers_.find(id); entry != workers_.end()) {
@@ -247,6 +250,10 @@
 void
 Cell::ExtendRoster()
 {
+  if (rosterIsComplete_) {
+    return;
+  }
+  rosterIsComplete_ = true;
   std::vector<std::string> added;
   for (auto& [id, entry] : workers_) {
     if (!entry.worker_->IsInRoster() && !entry.rosterRequested_) {
@@ -303,13 +310,13 @@
              const jobs::JobSpec& aSpec,
              AnswerCallback aDone)
 {
-  const auto known = jobs_.find(aId);
-  if (known != jobs_.end()) {
-    if (known->second.stored_) {
-      aDone({ AnswerStatus::kAccepted });
-    } else {
-      submitting_[aId].push_back(std::move(aDone));
-    }
+  const jobs::Job* known = jobs_.Find(aId);
+  if (jobs_.FindEnded(aId) != nullptr || (known != nullptr && known->stored_)) {
+    aDone({ AnswerStatus::kAccepted });
+    return;
+  }
+  if (known != nullptr) {
+    submitting_[aId].push_back(std::move(aDone));
     return;
   }
   if (handingOver_ || writer_.IsStalled(Now())) {
@@ -321,7 +328,7 @@
   job.acceptedMs_ = UnixMs();
   const std::string record =
     jobs::Encode(jobs::MakeJobRecord(service_, aQueue, aSpec, job.acceptedMs_));
-  jobs_.emplace(aId, std::move(job));
+  jobs_.Add(std::move(job));
   submitting_[aId].push_back(std::move(aDone));
   CellWrite write;
   write.mustBeAbsent_ = JobKey(aId);
@@ -329,12 +336,13 @@
   write.puts_.push_back({ JobKey(aId), record, 0 });
   write.done_ = [this, aId](const WriteResult& aResult) {
     const auto waiters = submitting_.extract(aId);
-    const auto entry = jobs_.find(aId);
+    jobs::Job* submitted = jobs_.Find(aId);
     Answer answer{ AnswerStatus::kUnknownOutcome };
-    if (aResult.outcome_ == WriteOutcome::kStored && entry != jobs_.end()) {
-      jobs::Job& accepted = entry->second;
+    if (aResult.outcome_ == WriteOutcome::kStored && submitted != nullptr) {
+      jobs::Job& accepted = *submitted;
       accepted.stored_ = true;
       jobs::OpenDueOccurrences(accepted, UnixMs());
+      jobs_.Update(accepted);
       if (!accepted.longRunning_ && accepted.spec_.repetitions_ == 0) {
         arrivals_.push_back({ Now(), accepted.estimatedCoreSeconds_ });
       }
@@ -351,11 +359,11 @@
       answer.status_ = AnswerStatus::kAccepted;
       SchedulePlacement();
     } else if (aResult.outcome_ == WriteOutcome::kRefused) {
-      jobs_.erase(aId);
+      jobs_.Remove(aId);
       answer = { AnswerStatus::kRefused, {}, 0, kRetryAfter };
     } else if (aResult.outcome_ == WriteOutcome::kConflict) {
       // The same job was submitted earlier, to the cell that its queue belonged to at that time.
-      jobs_.erase(aId);
+      jobs_.Remove(aId);
       answer.status_ = AnswerStatus::kAccepted;
     }
     if (!waiters.empty()) {
@@ -370,27 +378,28 @@
 void
 Cell::Show(const std::string& aId, const AnswerCallback& aDone) const
 {
-  const auto job = jobs_.find(aId);
-  if (job == jobs_.end()) {
+  if (const jobs::EndedJob* ended = jobs_.FindEnded(aId)) {
+    aDone({ AnswerStatus::kFound, ended->state_ });
+  } else if (const jobs::Job* job = jobs_.Find(aId)) {
+    aDone({ AnswerStatus::kFound, job->state_ });
+  } else {
     aDone({ AnswerStatus::kUnknownJob });
-    return;
   }
-  aDone({ AnswerStatus::kFound, job->second.state_ });
 }
 
 void
 Cell::Cancel(const std::string& aId, AnswerCallback aDone)
 {
-  const auto entry = jobs_.find(aId);
-  if (entry == jobs_.end()) {
-    aDone({ AnswerStatus::kUnknownJob });
+  if (jobs_.FindEnded(aId) != nullptr) {
+    aDone({ AnswerStatus::kCancelled });
     return;
   }
-  jobs::Job& job = entry->second;
-  if (jobs::IsFinal(job.state_)) {
-    aDone({ AnswerStatus::kCancelled });
+  jobs::Job* found = jobs_.Find(aId);
+  if (found == nullptr) {
+    aDone({ AnswerStatus::kUnknownJob });
     return;
   }
+  jobs::Job& job = *found;
   cancelling_[aId].push_back(std::move(aDone));
   if (job.ending_) {
     return;
@@ -403,19 +412,17 @@
 std::int64_t
 Cell::PendingOf(const std::string& aQueue) const
 {
-  return std::count_if(jobs_.begin(), jobs_.end(), [&aQueue](const auto& aEntry) {
+  const auto& live = jobs_.Live();
+  return std::count_if(live.begin(), live.end(), [&aQueue](const auto& aEntry) {
     const jobs::Job& job = aEntry.second;
-    return job.queue_ == aQueue && job.stored_ && !job.started_ && !job.ending_ &&
-           !jobs::IsFinal(job.state_);
+    return job.queue_ == aQueue && job.stored_ && !job.started_ && !job.ending_;
   });
 }
 
 std::size_t
 Cell::LiveJobs() const
 {
-  return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [](const auto& aEntry) {
-    return !jobs::IsFinal(aEntry.second.state_);
-  }));
+  return jobs_.Live().size();
 }
 
 } // namespace quetzal::cells
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -88,7 +88,7 @@
   };
   UpdateFailureScore(aEntry, aKind);
   SchedulePlacement();
-  const auto found = jobs_.find(aTask.job_);
+  jobs::Job* found = jobs_.Find(aTask.job_);
   log::Info("cell",
             "event=task-ended cell=",
             service_,
@@ -102,11 +102,11 @@
             id,
             " number=",
             aNumber);
-  if (found == jobs_.end() || found->second.ending_ || jobs::IsFinal(found->second.state_)) {
+  if (found == nullptr || found->ending_) {
     confirm();
     return;
   }
-  jobs::Job& job = found->second;
+  jobs::Job& job = *found;
   if (const jobs::TaskState* task = jobs::FindTask(job, aTask);
       task != nullptr && aKind == jobs::EndKind::kDone) {
     if (task->run_ == aRun) {
@@ -116,6 +116,7 @@
   }
   const jobs::EndEffect effect =
     jobs::ApplyEnd(job, aTask, aRun, aKind, aCheckpoint, MaxAttempts(job));
+  jobs_.Update(job);
   if (effect.jobCompleted_) {
     FinishJob(job, jobs::JobState::kCompleted, confirm);
   } else if (effect.jobFailed_) {
@@ -144,9 +145,9 @@
   if (aReason == workers::OrderStatus::kNoTicket) {
     tickets_.Expire(jobs::StepName(aTask.job_, aTask.occurrence_, aTask.step_));
   }
-  const auto job = jobs_.find(aTask.job_);
-  if (job != jobs_.end()) {
-    jobs::ClearPlacement(job->second, aTask, aRun, Now() + kFailedStartDelay);
+  if (jobs::Job* job = jobs_.Find(aTask.job_)) {
+    jobs::ClearPlacement(*job, aTask, aRun, Now() + kFailedStartDelay);
+    jobs_.Update(*job);
   }
   SchedulePlacement();
 }
@@ -154,21 +155,21 @@
 void
 Cell::OnUnknownRun(WorkerEntry& aEntry, const workers::RunningTask& aTask)
 {
-  const auto found = jobs_.find(aTask.task_.job_);
+  jobs::Job* job = jobs_.Find(aTask.task_.job_);
   jobs::TaskState* task = nullptr;
-  if (found != jobs_.end() && !found->second.ending_ && !jobs::IsFinal(found->second.state_)) {
-    task = jobs::FindTask(found->second, aTask.task_);
+  if (job != nullptr && !job->ending_) {
+    task = jobs::FindTask(*job, aTask.task_);
   }
   if (task == nullptr || task->phase_ != jobs::TaskPhase::kWaiting) {
     aEntry.worker_->StopOrphan(aTask.task_, aTask.run_);
     return;
   }
-  const jobs::StepSpec& step =
-    found->second.spec_.steps_.at(static_cast<std::size_t>(aTask.task_.step_));
+  const jobs::StepSpec& step = job->spec_.steps_.at(static_cast<std::size_t>(aTask.task_.step_));
   workers::Run run = placement::MakeRun(step, aTask.run_, workers::RunState::kRunning, Now());
   run.answeredAt_ = Now();
   aEntry.worker_->Adopt(aTask.task_, run);
-  jobs::Place(found->second, aTask.task_, aEntry.worker_->Registration().id_, aTask.run_, Now());
+  jobs::Place(*job, aTask.task_, aEntry.worker_->Registration().id_, aTask.run_, Now());
+  jobs_.Update(*job);
   log::Info("cell",
             "event=task-adopted cell=",
             service_,
@@ -218,14 +219,14 @@
   std::map<std::string, std::vector<std::function<void()>>> waiters;
   waiters.swap(progressWaiters_);
   for (auto& [id, done] : waiters) {
-    const auto entry = jobs_.find(id);
-    if (entry == jobs_.end()) {
+    jobs::Job* job = jobs_.Find(id);
+    if (job == nullptr) {
       continue;
     }
-    entry->second.hasProgress_ = true;
+    job->hasProgress_ = true;
     CellWrite write;
     write.puts_.push_back(
-      { ProgressPrefix(service_) + id, jobs::Encode(jobs::ProgressOf(entry->second)), 0 });
+      { ProgressPrefix(service_) + id, jobs::Encode(jobs::ProgressOf(*job)), 0 });
     write.done_ = [done = std::move(done)](const WriteResult& aResult) {
       if (aResult.outcome_ == WriteOutcome::kStored) {
         for (const auto& callback : done) {
@@ -242,7 +243,8 @@
 {
   aJob.ending_ = true;
   tickets_.RemoveJob(aJob.id_);
-  jobs::CountWaiting(aJob);
+  jobs::Recount(aJob);
+  jobs_.Update(aJob);
   std::vector<std::function<void()>> done;
   if (auto waiters = progressWaiters_.extract(aJob.id_); !waiters.empty()) {
     done = std::move(waiters.mapped());
@@ -262,27 +264,23 @@
     [this, id = aJob.id_, aState, endedMs, done = std::move(done)](const WriteResult& aResult) {
       auto cancels = cancelling_.extract(id);
       const bool stored = aResult.outcome_ == WriteOutcome::kStored;
-      const auto entry = jobs_.find(id);
-      if (stored && entry != jobs_.end()) {
-        jobs::Job& job = entry->second;
-        job.state_ = aState;
-        job.endedMs_ = endedMs;
-        job.liveOccurrences_.clear();
-        job.spec_ = {};
+      const jobs::Job* job = jobs_.Find(id);
+      if (stored && job != nullptr) {
         context_.metrics_->Add("quetzal_jobs_ended_total", { { "state", jobs::ToString(aState) } });
         context_.metrics_->Observe(
-          "quetzal_job_seconds", { { "service", service_ } }, Now() - job.arrivedAt_);
+          "quetzal_job_seconds", { { "service", service_ } }, Now() - job->arrivedAt_);
         log::Info("cell",
                   "event=job-ended cell=",
                   service_,
                   " job=",
                   id,
                   " queue=",
-                  job.queue_,
+                  job->queue_,
                   " state=",
                   jobs::ToString(aState),
                   " after_ms=",
-                  std::chrono::duration_cast<clock::Milliseconds>(Now() - job.arrivedAt_).count());
+                  std::chrono::duration_cast<clock::Milliseconds>(Now() - job->arrivedAt_).count());
+        jobs_.End(id, { aState, endedMs });
         for (const auto& callback : done) {
           callback();
         }
@@ -300,17 +298,10 @@
 Cell::RemoveExpired()
 {
   const std::int64_t oldest = UnixMs() - static_cast<std::int64_t>(context_.retention_.count());
-  std::size_t removed = 0;
-  for (auto entry = jobs_.begin(); entry != jobs_.end() && removed < kMaxExpiredAtOnce;) {
-    if (entry->second.endedMs_ == 0 || entry->second.endedMs_ > oldest) {
-      ++entry;
-      continue;
-    }
+  for (const std::string& id : jobs_.TakeExpired(oldest, kMaxExpiredAtOnce)) {
     CellWrite write;
-    write.removes_.push_back(JobKey(entry->first));
+    write.removes_.push_back(JobKey(id));
     writer_.Add(std::move(write), kRemovalDelay);
-    entry = jobs_.erase(entry);
-    ++removed;
   }
 }
 
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -47,8 +47,8 @@
   }
   const jobs::Configuration& configuration = context_.platformState_->Configuration();
   clock::Milliseconds longest{ 0 };
-  for (const auto& [id, job] : jobs_) {
-    if (!job.stored_ || job.ending_ || jobs::IsFinal(job.state_)) {
+  for (const auto& [id, job] : jobs_.Live()) {
+    if (!job.stored_ || job.ending_) {
       continue;
     }
     const jobs::RemainingWork rest = jobs::RemainingWorkOf(job);
@@ -85,9 +85,9 @@
 {
   const clock::Moment now = Now();
   int unschedulable = 0;
-  for (const auto& [id, job] : jobs_) {
-    if (job.longRunning_ && job.stored_ && now - job.arrivedAt_ > kUnschedulableAge) {
-      unschedulable += job.waitingTasks_;
+  for (const auto& [id, job] : jobs_.Waiting()) {
+    if (job->longRunning_ && now - job->arrivedAt_ > kUnschedulableAge) {
+      unschedulable += job->waitingTasks_;
     }
   }
   return unschedulable;
@@ -181,14 +181,14 @@
   }
   std::vector<jobs::TaskId> toStop;
   for (const auto& [task, run] : entry->second.worker_->State().runs_) {
-    const auto job = jobs_.find(task.job_);
-    if (!run.longRunning_ || run.state_ != workers::RunState::kRunning || job == jobs_.end()) {
+    jobs::Job* job = jobs_.Find(task.job_);
+    if (!run.longRunning_ || run.state_ != workers::RunState::kRunning || job == nullptr) {
       continue;
     }
-    jobs::TaskState* state = jobs::FindTask(job->second, task);
-    if (!HasRoomFor(job->second.spec_.steps_.at(static_cast<std::size_t>(task.step_)))) {
+    jobs::TaskState* state = jobs::FindTask(*job, task);
+    if (!HasRoomFor(job->spec_.steps_.at(static_cast<std::size_t>(task.step_)))) {
       ++unschedulableEvictions_;
-    } else if (state != nullptr && MayEvict(job->second, task)) {
+    } else if (state != nullptr && MayEvict(*job, task)) {
       state->evicting_ = true;
       toStop.push_back(task);
     }
@@ -251,9 +251,10 @@
   if (!removed.empty()) {
     writer_.SetRoster(Roster(), kRosterDelay, [] {});
   }
-  for (auto& [id, job] : jobs_) {
-    if (job.stored_ && !job.ending_ && !jobs::IsFinal(job.state_) && job.spec_.repetitions_ > 0) {
+  for (auto& [id, job] : jobs_.Live()) {
+    if (job.stored_ && !job.ending_ && job.spec_.repetitions_ > 0) {
       jobs::OpenDueOccurrences(job, UnixMs());
+      jobs_.Update(job);
     }
   }
   SchedulePlacement();
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -20,23 +20,31 @@
 constexpr int kMaxUnplacedJobs = 24;
 constexpr double kHighFailureScore = 0.65;
 
-std::string
+std::string_view
 RackOf(const std::vector<std::string>& aLabels)
 {
   // A worker's labels are its kind and its rack, in this order.
-  return aLabels.empty() ? std::string() : aLabels.back();
+  return aLabels.empty() ? std::string_view() : std::string_view(aLabels.back());
 }
 
-bool
-HasRun(const workers::WorkerState& aState, bool (*aTest)(const workers::Run&))
+/** Adds a task to a candidate's count. @param aCandidates in the order of their ids. */
+void
+CountTask(const std::string& aWorker,
+          const std::vector<placement::Candidate>& aCandidates,
+          placement::StepUse& aUse)
 {
-  return std::any_of(aState.runs_.begin(), aState.runs_.end(), [aTest](const auto& aEntry) {
-    return aTest(aEntry.second);
-  });
+  const auto found = std::lower_bound(aCandidates.begin(),
+                                      aCandidates.end(),
+                                      aWorker,
+                                      [](const placement::Candidate& aCandidate,
+                                         const std::string& aId) { return aCandidate.id_ < aId; });
+  if (found != aCandidates.end() && found->id_ == aWorker) {
+    ++aUse.taskCounts_[static_cast<std::size_t>(found - aCandidates.begin())];
+  }
 }
 
 /** Counts the tasks of a step, including copies, on each candidate. All counts are 0 if the step
- * sets no limit for a worker. */
+ * sets no limit for a worker. @param aCandidates in the order of their ids. */
 placement::StepUse
 UseOf(const jobs::StepSpec& aSpec,
       const std::vector<jobs::TaskState>& aTasks,
@@ -48,11 +56,9 @@
     return use;
   }
   for (const jobs::TaskState& task : aTasks) {
-    for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-      const std::string& worker = aCandidates[i].id_;
-      const bool isOn = task.phase_ == jobs::TaskPhase::kPlaced &&
-                        (task.worker_ == worker || task.copyWorker_ == worker);
-      use.taskCounts_[i] += isOn ? 1 : 0;
+    if (task.phase_ == jobs::TaskPhase::kPlaced) {
+      CountTask(task.worker_, aCandidates, use);
+      CountTask(task.copyWorker_, aCandidates, use);
     }
   }
   return use;
@@ -68,39 +74,30 @@
   }
 }
 
-std::vector<jobs::Job*>
-Cell::JobsInOrder(clock::Moment aNow)
+std::vector<Cell::WaitingJob>
+Cell::WaitingJobs(clock::Moment aNow) const
 {
-  using Key = std::tuple<bool, int, bool, bool, clock::Moment>;
-  std::vector<std::pair<Key, jobs::Job*>> entries;
+  std::vector<WaitingJob> waiting;
+  waiting.reserve(jobs_.Waiting().size());
   const jobs::Configuration& configuration = context_.platformState_->Configuration();
   std::map<std::string, const jobs::Queue*> queues;
   const bool isSynchronized = IsSynchronized();
-  for (auto& [id, job] : jobs_) {
-    if (job.waitingTasks_ == 0 || !job.stored_ || job.ending_ ||
-        (job.fromPredecessor_ && !isSynchronized)) {
+  for (const auto& [id, job] : jobs_.Waiting()) {
+    if (job->fromPredecessor_ && !isSynchronized) {
       continue;
     }
-    const auto [queue, added] = queues.try_emplace(job.queue_, nullptr);
+    const auto [queue, added] = queues.try_emplace(job->queue_, nullptr);
     if (added) {
-      queue->second = jobs::FindQueueByName(configuration, job.queue_);
+      queue->second = jobs::FindQueueByName(configuration, job->queue_);
     }
     const int priority = queue->second == nullptr ? 0 : queue->second->priority_;
-    const auto criticalPath = jobs::RemainingWorkOf(job).criticalPath_ * estimateBias_;
+    const auto criticalPath = job->remainingPath_ * estimateBias_;
     const bool isLate = aNow + std::chrono::duration_cast<clock::Moment::duration>(criticalPath) >
-                        jobs::ObjectiveOf(job, queue->second);
-    entries.emplace_back(Key{ !job.longRunning_, priority, isLate, !job.started_, job.arrivedAt_ },
-                         &job);
+                        jobs::ObjectiveOf(*job, queue->second);
+    waiting.push_back(
+      { { !job->longRunning_, priority, isLate, !job->started_, job->arrivedAt_ }, job });
   }
-  std::sort(entries.begin(), entries.end(), [](const auto& aLeft, const auto& aRight) {
-    return aLeft.first < aRight.first;
-  });
-  std::vector<jobs::Job*> ordered;
-  ordered.reserve(entries.size());
-  for (const auto& [key, job] : entries) {
-    ordered.push_back(job);
-  }
-  return ordered;
+  return waiting;
 }
 
 std::vector<placement::Candidate>
@@ -119,10 +116,8 @@
     candidate.rack_ = RackOf(registration.labels_);
     candidate.free_ = workers::FreeCapacity(state, registration.capacity_);
     candidate.hasLongRunning_ = workers::HasLongRunning(state);
-    candidate.hasLatencySensitive_ =
-      HasRun(state, [](const workers::Run& aRun) { return aRun.latencyTargetMs_ > 0; });
-    candidate.hasBestEffort_ =
-      HasRun(state, [](const workers::Run& aRun) { return aRun.bestEffort_; });
+    candidate.hasLatencySensitive_ = state.counts_.latencySensitive_ > 0;
+    candidate.hasBestEffort_ = state.counts_.bestEffort_ > 0;
     candidate.failureScore_ = entry.failureScore_ > kHighFailureScore ? 1 : 0;
     candidates.push_back(std::move(candidate));
     aEntries.push_back(const_cast<WorkerEntry*>(&entry));
@@ -143,8 +138,18 @@
     return;
   }
   int unplaced = 0;
-  for (jobs::Job* job : JobsInOrder(now)) {
-    unplaced = PlaceJob(*job, candidates, entries, now) ? 0 : unplaced + 1;
+  // A heap, as a round under load ends long before it has seen all jobs.
+  const auto comesLater = [](const WaitingJob& aLeft, const WaitingJob& aRight) {
+    return aLeft.key_ > aRight.key_;
+  };
+  std::vector<WaitingJob> waiting = WaitingJobs(now);
+  std::make_heap(waiting.begin(), waiting.end(), comesLater);
+  while (!waiting.empty()) {
+    std::pop_heap(waiting.begin(), waiting.end(), comesLater);
+    jobs::Job& job = *waiting.back().job_;
+    waiting.pop_back();
+    unplaced = PlaceJob(job, candidates, entries, now) ? 0 : unplaced + 1;
+    jobs_.Update(job);
     if (unplaced > kMaxUnplacedJobs) {
       return;
     }
@@ -195,16 +200,17 @@
       return 0;
     }
     for (const placement::Candidate& candidate : aCandidates) {
-      use.excluded_.push_back(!tickets->contains(candidate.id_));
+      use.excluded_.push_back(!tickets->contains(std::string(candidate.id_)));
     }
   }
   int placed = 0;
+  std::optional<std::size_t> chosen;
   for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
     const jobs::TaskState& task = tasks[static_cast<std::size_t>(i)];
     if (task.phase_ != jobs::TaskPhase::kWaiting || task.notBefore_ > aNow) {
       continue;
     }
-    const auto chosen = placement::ChooseWorker(spec, aCandidates, use);
+    chosen = placement::ChooseNextWorker(spec, aCandidates, use, chosen);
     if (!chosen) {
       break;
     }
@@ -296,7 +302,7 @@
   order.run_ = aRun;
   order.payload_ = aJob.spec_.payload_;
   order.checkpoint_ = task == nullptr ? std::string() : task->checkpoint_;
-  order.ticket_ = TicketFor(aTask, aWorker);
+  order.ticket_ = NeedsTicket(aJob) ? TicketFor(aTask, aWorker) : std::string();
   return order;
 }
 
@@ -331,15 +337,15 @@
                   const std::vector<WorkerEntry*>& aEntries,
                   clock::Moment aNow)
 {
-  for (auto& [id, job] : jobs_) {
-    if (job.placedTasks_ == 0 || !job.stored_ || job.ending_ || job.longRunning_) {
+  for (const auto& [id, job] : jobs_.Speculative()) {
+    if (job->placedTasks_ == 0 || !job->stored_ || job->ending_) {
       continue;
     }
-    for (const auto& [index, occurrence] : job.liveOccurrences_) {
+    for (const auto& [index, occurrence] : job->liveOccurrences_) {
       for (int s = 0; s < static_cast<int>(occurrence.steps_.size()); ++s) {
-        const jobs::StepSpec& spec = job.spec_.steps_.at(static_cast<std::size_t>(s));
+        const jobs::StepSpec& spec = job->spec_.steps_.at(static_cast<std::size_t>(s));
         if (spec.speculative_ && !spec.gang_) {
-          CopyStragglers(job, index, s, aCandidates, aEntries, aNow);
+          CopyStragglers(*job, index, s, aCandidates, aEntries, aNow);
         }
       }
     }
@@ -391,7 +397,7 @@
     placement::StepUse use = UseOf(spec, step.tasks_, aCandidates);
     for (const placement::Candidate& candidate : aCandidates) {
       use.excluded_.push_back(candidate.id_ == task.worker_ ||
-                              (needsTicket && TicketFor(id, candidate.id_).empty()));
+                              (needsTicket && TicketFor(id, std::string(candidate.id_)).empty()));
     }
     const auto chosen = placement::ChooseWorker(spec, aCandidates, use);
     if (!chosen) {
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -380,10 +380,7 @@
 void
 Worker::EndAllRuns(jobs::EndKind aKind)
 {
-  std::map<jobs::TaskId, workers::Run> runs;
-  runs.swap(state_.runs_);
-  state_.used_ = {};
-  for (const auto& [task, run] : runs) {
+  for (const auto& [task, run] : workers::TakeRuns(state_)) {
     Q_EMIT RunEnded(task, run.number_, aKind, {}, 0);
   }
 }
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -123,7 +123,7 @@
     }
   }
   if (opened) {
-    CountWaiting(aJob);
+    Recount(aJob);
   }
   return aJob.nextOccurrence_ < total ? DueMs(aJob.spec_, aJob.nextOccurrence_) : 0;
 }
@@ -162,7 +162,7 @@
       task->checkpoint_ = progress.checkpoint_;
     }
   }
-  CountWaiting(aJob);
+  Recount(aJob);
 }
 
 ProgressRecord
@@ -223,9 +223,10 @@
 }
 
 void
-CountWaiting(Job& aJob)
+Recount(Job& aJob)
 {
   aJob.waitingTasks_ = 0;
+  aJob.remainingPath_ = RemainingWorkOf(aJob).criticalPath_;
   if (IsFinal(aJob.state_) || aJob.ending_) {
     return;
   }
@@ -308,7 +309,7 @@
   task->worker_.clear();
   task->notBefore_ = aNotBefore;
   --aJob.placedTasks_;
-  CountWaiting(aJob);
+  Recount(aJob);
 }
 
 EndEffect
@@ -339,7 +340,7 @@
     }
     effect.changed_ = true;
     CompleteOccurrenceIfDone(aJob, aTask.occurrence_, effect);
-    CountWaiting(aJob);
+    Recount(aJob);
     return effect;
   }
   if (!aCheckpoint.empty()) {
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -38,6 +38,19 @@
     -aCandidate.failureScore_, isNearData, avoidsContention, isSameKind, -aCandidate.free_.cpu_);
 }
 
+/** Returns whether a step may use a candidate and the candidate has room for a task of it. */
+bool
+IsUsable(const jobs::StepSpec& aStep,
+         const std::vector<Candidate>& aCandidates,
+         const StepUse& aUse,
+         std::size_t aIndex)
+{
+  const bool isAtLimit =
+    aStep.maxPerWorker_ > 0 && aUse.taskCounts_.at(aIndex) >= aStep.maxPerWorker_;
+  const bool isExcluded = !aUse.excluded_.empty() && aUse.excluded_[aIndex];
+  return !isAtLimit && !isExcluded && Fits(aStep, aCandidates[aIndex]);
+}
+
 /** Places a gang's tasks one by one on the allowed candidates of the highest rank. Returns nothing
  * if these cannot hold all tasks. */
 std::vector<std::size_t>
@@ -94,9 +107,7 @@
 {
   std::optional<std::size_t> best;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    const bool isAtLimit = aStep.maxPerWorker_ > 0 && aUse.taskCounts_.at(i) >= aStep.maxPerWorker_;
-    const bool isExcluded = !aUse.excluded_.empty() && aUse.excluded_[i];
-    if (isAtLimit || isExcluded || !Fits(aStep, aCandidates[i])) {
+    if (!IsUsable(aStep, aCandidates, aUse, i)) {
       continue;
     }
     if (!best || RankOf(aStep, aCandidates[i]) > RankOf(aStep, aCandidates[*best])) {
@@ -106,6 +117,20 @@
   return best;
 }
 
+std::optional<std::size_t>
+ChooseNextWorker(const jobs::StepSpec& aStep,
+                 const std::vector<Candidate>& aCandidates,
+                 const StepUse& aUse,
+                 std::optional<std::size_t> aLast)
+{
+  // A task that is both avoids the worker of its own siblings.
+  const bool avoidsItself = aStep.bestEffort_ && aStep.latencyTargetMs_ > 0;
+  if (aLast && !avoidsItself && IsUsable(aStep, aCandidates, aUse, *aLast)) {
+    return aLast;
+  }
+  return ChooseWorker(aStep, aCandidates, aUse);
+}
+
 std::vector<std::size_t>
 ChooseGang(const jobs::StepSpec& aStep, const std::vector<Candidate>& aCandidates)
 {
@@ -116,11 +141,11 @@
   if (!aStep.sameRack_) {
     return PlaceGang(aStep, aCandidates, all);
   }
-  std::set<std::string> racks;
+  std::set<std::string_view> racks;
   for (const Candidate& candidate : aCandidates) {
     racks.insert(candidate.rack_);
   }
-  for (const std::string& rack : racks) {
+  for (const std::string_view rack : racks) {
     std::vector<std::size_t> members;
     std::copy_if(all.begin(), all.end(), std::back_inserter(members), [&](std::size_t aIndex) {
       return aCandidates[aIndex].rack_ == rack;
--- a/src/workers/WorkerState.cpp
+++ b/src/workers/WorkerState.cpp
@@ -8,12 +8,16 @@
 /** Margin added to a lapse, since clock readings are rounded to milliseconds. */
 constexpr clock::Milliseconds kLapseMargin{ 60 };
 
+/** Adds a run to the worker's totals, or subtracts it. @param aSign 1 or -1. */
 void
-AddUse(Capacity& aUsed, const Capacity& aNeed, int aSign)
+AddToTotals(WorkerState& aState, const Run& aRun, int aSign)
 {
-  aUsed.cpu_ += aSign * aNeed.cpu_;
-  aUsed.memory_ += aSign * aNeed.memory_;
-  aUsed.accelerators_ += aSign * aNeed.accelerators_;
+  aState.used_.cpu_ += aSign * aRun.need_.cpu_;
+  aState.used_.memory_ += aSign * aRun.need_.memory_;
+  aState.used_.accelerators_ += aSign * aRun.need_.accelerators_;
+  aState.counts_.longRunning_ += aRun.longRunning_ ? aSign : 0;
+  aState.counts_.latencySensitive_ += aRun.latencyTargetMs_ > 0 ? aSign : 0;
+  aState.counts_.bestEffort_ += aRun.bestEffort_ ? aSign : 0;
 }
 
 double
@@ -29,10 +33,10 @@
 {
   const auto [entry, added] = aState.runs_.emplace(aTask, aRunToAdd);
   if (!added) {
-    AddUse(aState.used_, entry->second.need_, -1);
+    AddToTotals(aState, entry->second, -1);
     entry->second = aRunToAdd;
   }
-  AddUse(aState.used_, aRunToAdd.need_, 1);
+  AddToTotals(aState, aRunToAdd, 1);
 }
 
 bool
@@ -42,11 +46,21 @@
   if (entry == aState.runs_.end() || entry->second.number_ != aRun) {
     return false;
   }
-  AddUse(aState.used_, entry->second.need_, -1);
+  AddToTotals(aState, entry->second, -1);
   aState.runs_.erase(entry);
   return true;
 }
 
+std::map<jobs::TaskId, Run>
+TakeRuns(WorkerState& aState)
+{
+  std::map<jobs::TaskId, Run> runs;
+  runs.swap(aState.runs_);
+  aState.used_ = {};
+  aState.counts_ = {};
+  return runs;
+}
+
 std::int64_t
 ClockAt(const WorkerState& aState, clock::Moment aNow)
 {
@@ -87,21 +101,13 @@
 bool
 HasLongRunning(const WorkerState& aState)
 {
-  return std::any_of(aState.runs_.begin(), aState.runs_.end(), [](const auto& aEntry) {
-    return aEntry.second.longRunning_;
-  });
+  return aState.counts_.longRunning_ > 0;
 }
 
 bool
 HasMixedLoad(const WorkerState& aState)
 {
-  bool hasLatencySensitive = false;
-  bool hasBestEffort = false;
-  for (const auto& [task, run] : aState.runs_) {
-    hasLatencySensitive = hasLatencySensitive || run.latencyTargetMs_ > 0;
-    hasBestEffort = hasBestEffort || run.bestEffort_;
-  }
-  return hasLatencySensitive && hasBestEffort;
+  return aState.counts_.latencySensitive_ > 0 && aState.counts_.bestEffort_ > 0;
 }
 
 } // namespace quetzal::workers
--- a/tests/unit/PlacementTest.cpp
+++ b/tests/unit/PlacementTest.cpp
@@ -1,6 +1,9 @@
 #include "include/quetzal/placement/Placement.h"
 
 #include <boost/test/unit_test.hpp>
+#include <deque>
+#include <random>
+#include <set>
 
 namespace {
 
@@ -15,8 +18,8 @@
   {
     labels_.push_back({ "kind", aRack });
     Candidate candidate;
-    candidate.id_ = aId;
-    candidate.rack_ = aRack;
+    candidate.id_ = *ids_.insert(aId).first;
+    candidate.rack_ = labels_.back().back();
     candidate.free_ = { aFreeCpu, 10'000, 0 };
     return candidate;
   }
@@ -33,12 +36,13 @@
   std::string Chosen()
   {
     const auto index = ChooseWorker(step_, candidates_, use_);
-    return index ? candidates_[*index].id_ : "none";
+    return index ? std::string(candidates_[*index].id_) : "none";
   }
 
   jobs::StepSpec step_;
   std::vector<Candidate> candidates_;
-  std::vector<std::vector<std::string>> labels_;
+  std::deque<std::vector<std::string>> labels_; ///< Candidates refer to these.
+  std::set<std::string> ids_;                   ///< Candidates refer to these.
   StepUse use_;
 };
 
@@ -140,6 +144,43 @@
   BOOST_TEST(candidates_[chosen[1]].rack_ == "r2");
 }
 
+/** Whatever the step, the candidates and the limits are, the tasks of a step must go where they
+ * would go if each one were compared with all candidates. */
+BOOST_AUTO_TEST_CASE(NextTasks_OfRandomSteps_GoWhereEachAloneWouldGo)
+{
+  std::mt19937 random(20'261'204);
+  const auto upTo = [&random](int aMost) { return static_cast<int>(random() % (aMost + 1)); };
+  for (int round = 0; round < 300; ++round) {
+    PlacementFixture fixture;
+    for (int i = 0; i < 12; ++i) {
+      Candidate candidate = fixture.Worker("w" + std::to_string(i), 1'000 * upTo(9));
+      candidate.hasLongRunning_ = upTo(3) == 0;
+      candidate.hasLatencySensitive_ = upTo(3) == 0;
+      candidate.hasBestEffort_ = upTo(3) == 0;
+      candidate.failureScore_ = upTo(1);
+      fixture.Add(candidate);
+    }
+    jobs::StepSpec& step = fixture.step_;
+    step.cpu_ = 500 * upTo(5);
+    step.memory_ = 1'000 * upTo(4);
+    step.maxPerWorker_ = upTo(3);
+    step.longRunning_ = upTo(2) == 0;
+    step.bestEffort_ = upTo(2) == 0;
+    step.latencyTargetMs_ = upTo(2) == 0 ? 100 : 0;
+    std::optional<std::size_t> last;
+    for (int task = 0; task < 30; ++task) {
+      const auto expected = ChooseWorker(step, fixture.candidates_, fixture.use_);
+      last = ChooseNextWorker(step, fixture.candidates_, fixture.use_, last);
+      BOOST_REQUIRE((last == expected));
+      if (!last) {
+        break;
+      }
+      Reserve(fixture.candidates_[*last], step);
+      ++fixture.use_.taskCounts_[*last];
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/unit/WorkerStateTest.cpp
+++ b/tests/unit/WorkerStateTest.cpp
@@ -49,6 +49,26 @@
   BOOST_TEST(state.used_.cpu_ == 500);
 }
 
+BOOST_AUTO_TEST_CASE(Counts_RunsComeReplacedAndGo_FollowThem)
+{
+  WorkerState state;
+  Run run = MakeRun(1, 700);
+  run.longRunning_ = true;
+  run.bestEffort_ = true;
+  AddRun(state, task_, run);
+  BOOST_TEST(HasLongRunning(state));
+  run.bestEffort_ = false;
+  run.latencyTargetMs_ = 50;
+  AddRun(state, task_, run);
+  BOOST_TEST((state.counts_ == RunCounts{ 1, 1, 0 }));
+  RemoveRun(state, task_, run.number_);
+  BOOST_TEST((state.counts_ == RunCounts{}));
+  AddRun(state, task_, run);
+  BOOST_TEST(TakeRuns(state).size() == 1);
+  BOOST_TEST((state.counts_ == RunCounts{}));
+  BOOST_TEST((state.used_ == Capacity{}));
+}
+
 BOOST_AUTO_TEST_CASE(Lease_WorkerClockIsSlow_LapsesOnceThatClockHasPassedItsEnd)
 {
   WorkerState state;
