Timers of the event loop never fire early

Cause: libuv's time is cut to whole milliseconds, so a timer that starts late in a millisecond fired up to one early. Seen once in the test UvDispatcher/Timers_StartedLongAfterTheLastWait (check early.empty()), on a busy machine; the cut explains it: a start at 0.9 ms counts as 0.

Change: a millisecond more for each timer with a span.

--- a/src/event/UvHandles.cpp
+++ b/src/event/UvHandles.cpp
@@ -63,12 +63,14 @@
 void
 UvTimer::Start(std::uint64_t aDelayMs)
 {
-  // The loop's time is that of the last wait; a timer must not fire early by what has passed since.
+  // A timer must not fire early. The loop's time is that of its last wait, and is cut to whole
+  // milliseconds.
   uv_update_time(handle_->loop);
+  const std::uint64_t roundingMs = aDelayMs == 0 ? 0 : 1;
   uv_timer_start(
     handle_.get(),
     [](uv_timer_t* aHandle) { static_cast<UvTimer*>(aHandle->data)->OnFired(); },
-    aDelayMs,
+    aDelayMs + roundingMs,
     0);
 }
 
