Waves find their hosts by an index

Cause: the plan and the progress of a wave searched the list of hosts for each host of the wave: 561 x 1,100 comparisons of names, twice for each list, more than six lists a second, on the host that also owns the fleet.

Change: an index by name, made once for each plan. A completed wave is not looked at again.

--- a/src/fleet/Planner.cpp
+++ b/src/fleet/Planner.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string_view>
 #include <tuple>
+#include <unordered_map>
 
 namespace quetzal::fleet {
 namespace {
@@ -178,13 +180,25 @@
   }
 }
 
+/** Hosts by name, for waves that name hundreds of them. */
+using HostIndex = std::unordered_map<std::string_view, const Host*>;
+
+HostIndex
+IndexByName(const std::vector<Host>& aHosts)
+{
+  HostIndex index;
+  index.reserve(aHosts.size());
+  for (const Host& host : aHosts) {
+    index.emplace(host.name_, &host);
+  }
+  return index;
+}
+
 const Host*
-FindHost(const FleetView& aView, const std::string& aName)
+FindHost(const HostIndex& aIndex, const std::string& aName)
 {
-  const auto found = std::find_if(aView.hosts_.begin(),
-                                  aView.hosts_.end(),
-                                  [&aName](const Host& aHost) { return aHost.name_ == aName; });
-  return found == aView.hosts_.end() ? nullptr : &*found;
+  const auto found = aIndex.find(aName);
+  return found == aIndex.end() ? nullptr : found->second;
 }
 
 /** Returns a host's rank in a wave: 0 for hosts on which nothing runs, then hosts with short tasks,
@@ -208,6 +222,7 @@
   if (aWave.completed_) {
     return;
   }
+  const HostIndex hosts = IndexByName(aView.hosts_);
   int down = 0;
   std::vector<std::pair<int, const Host*>> pending;
   for (const auto& [name, state] : aWave.hosts_) {
@@ -215,7 +230,7 @@
       ++down;
       continue;
     }
-    const Host* host = FindHost(aView, name);
+    const Host* host = FindHost(hosts, name);
     if (state.phase_ != MaintenancePhase::kPending || host == nullptr) {
       continue;
     }
@@ -325,12 +340,14 @@
            clock::Milliseconds aMaintenanceTime,
            clock::Moment aNow)
 {
+  if (aWave.completed_) {
+    return;
+  }
+  const HostIndex hosts = IndexByName(aHosts);
   bool allDone = true;
   for (auto& [name, state] : aWave.hosts_) {
-    const auto host = std::find_if(aHosts.begin(), aHosts.end(), [&name = name](const Host& aHost) {
-      return aHost.name_ == name;
-    });
-    if (host == aHosts.end() || state.phase_ == MaintenancePhase::kDone) {
+    const Host* host = FindHost(hosts, name);
+    if (host == nullptr || state.phase_ == MaintenancePhase::kDone) {
       continue; // A host that is no longer listed does not delay the wave.
     }
     if (state.phase_ == MaintenancePhase::kPending) {
