Orders for hosts use the platform's rate

Cause: plans come each 150 to 200 ms, and the budget of orders held 20 at most, so the fleet moved 133 hosts a second where the platform allows 590. When a queue's turn begins, 800 hosts change hands; that took six seconds, as long as the turn itself.

Change: fleet/OrderBudget, a pure token bucket, holds what the limit allows in 0.15 s; with the accrual of 0.8 of the limit a second's orders stay below it. Small deployments keep their batch of 20.

Test: plans each 150 ms at 600 orders a second send 4,500 orders or more in 10 s (1,320 before), and no second has more than 600.

--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/quetzal/cells/Cell.h"
+#include "include/quetzal/fleet/OrderBudget.h"
 #include "include/quetzal/fleet/Planner.h"
 #include "include/quetzal/node/Membership.h"
 
@@ -80,7 +81,6 @@
   void LogPlan(const fleet::FleetPlan& aPlan, clock::Moment aNow);
   void OrderMove(const fleet::MoveOrder& aOrder);
   void OrderMaintenance(const fleet::MaintenanceOrder& aOrder);
-  bool TakeOrderToken();
   void StoreWave(const fleet::WaveProgress& aWave);
   void PublishWaveStatus(std::int64_t aWave, bool aCompleted);
   void RetryWaveStatus(std::int64_t aWave, bool aCompleted);
@@ -115,8 +115,7 @@
   std::set<std::string> evict_;
   std::map<std::string, std::int64_t> lastOrderMs_;        ///< Unix milliseconds, by host.
   std::optional<jobs::FleetHandOver> predecessorHandOver_; ///< Set if the fleet was handed over.
-  double orderTokens_ = 0;
-  clock::Moment tokensUpdatedAt_{};
+  fleet::OrderBudget orderBudget_;
 };
 
 /** The store's key of the fleet's latest hand-over record. */
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -37,10 +37,6 @@
 /** Fraction of the platform's read rate limit that one owner uses, because its predecessor may
  * still read. */
 constexpr double kReadRateShare = 0.5;
-/** Fraction of the platform's order rate limit that is used. */
-constexpr double kOrderRateShare = 0.8;
-/** Capacity of the token bucket that limits the rate of orders. */
-constexpr double kMaxOrderTokens = 20;
 
 std::string
 WaveKey(std::int64_t aWave)
@@ -75,7 +71,7 @@
   , ownership_(aOwnership)
   , options_(aOptions)
   , startedAt_(Now())
-  , tokensUpdatedAt_(startedAt_)
+  , orderBudget_{ 0, startedAt_ }
 {
   connect(&timer_, &QTimer::timeout, this, &FleetManager::RequestList);
   timer_.start(kListInterval);
@@ -327,21 +323,6 @@
   return view;
 }
 
-bool
-FleetManager::TakeOrderToken()
-{
-  const clock::Moment now = Now();
-  const double passed = std::chrono::duration<double>(now - tokensUpdatedAt_).count();
-  tokensUpdatedAt_ = now;
-  orderTokens_ =
-    std::min(kMaxOrderTokens, orderTokens_ + passed * options_.ordersPerSecond_ * kOrderRateShare);
-  if (orderTokens_ < 1) {
-    return false;
-  }
-  orderTokens_ -= 1;
-  return true;
-}
-
 void
 FleetManager::ExecutePlan()
 {
@@ -356,12 +337,12 @@
   evict_ = plan.evict_;
   LogPlan(plan, now);
   for (const fleet::MaintenanceOrder& order : plan.maintenance_) {
-    if (TakeOrderToken()) {
+    if (fleet::TakeOrder(orderBudget_, options_.ordersPerSecond_, now)) {
       OrderMaintenance(order);
     }
   }
   for (const fleet::MoveOrder& order : plan.moves_) {
-    if (TakeOrderToken()) {
+    if (fleet::TakeOrder(orderBudget_, options_.ordersPerSecond_, now)) {
       OrderMove(order);
     }
   }
