Takeover waits only for workers that a predecessor may have given orders

Cause: a predecessor's jobs waited until every worker of the cell had answered the new owner, those included that had joined since and cannot run anything of it.

Change: only workers from the stored roster are waited for and given up.

Test: Takeover_WorkerThatHasJustJoinedIsSilent_IsNotWaitedFor (failed before).

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -151,6 +151,7 @@
   {
     Worker* worker_ = nullptr;
     bool rosterRequested_ = false;
+    bool inherited_ = false; ///< A predecessor may have given the worker orders.
     bool terminated_ = false; ///< Its incarnation has ended; a successor need not poll it.
     double failureScore_ = 0;
     int speedPercent_ = 100; ///< Speed limit of best-effort tasks.
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -106,7 +106,9 @@
     registration.endpoint_ = { entry.address_, static_cast<std::uint16_t>(entry.port_) };
     registration.service_ = service_;
     AddWorker(registration);
-    workers_.at(entry.id_).worker_->MarkUnregistered();
+    WorkerEntry& inherited = workers_.at(entry.id_);
+    inherited.inherited_ = true;
+    inherited.worker_->MarkUnregistered();
   }
   log::Info("cell",
             "event=cell-begun cell=",
@@ -279,7 +281,7 @@
 {
   return context_.platformState_->HasWorkers() &&
          std::all_of(workers_.begin(), workers_.end(), [](const auto& aEntry) {
-           return aEntry.second.worker_->IsSynchronized();
+           return !aEntry.second.inherited_ || aEntry.second.worker_->IsSynchronized();
          });
 }
 
@@ -295,7 +297,7 @@
     return;
   }
   for (auto& [id, entry] : workers_) {
-    if (!entry.worker_->IsSynchronized()) {
+    if (entry.inherited_ && !entry.worker_->IsSynchronized()) {
       log::Warn("cell", "event=worker-given-up cell=", service_, " worker=", id);
       entry.worker_->ExpireRuns();
     }
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -107,6 +107,19 @@
 // A worker that is cut off together with the predecessor loses its registration and still runs its
 // tasks. A successor that treats the worker as terminated starts the worker's task a second time
 // (mekong-mesh scale-1, seed 266433218922).
+/** Workers join a large pool all the time. One that its predecessor has never given an order cannot
+ * run a task of it. */
+BOOST_AUTO_TEST_CASE(Takeover_WorkerThatHasJustJoinedIsSilent_IsNotWaitedFor)
+{
+  auto cell = TakeOver("a");
+  BOOST_TEST((Submit(*cell, "job1", Spec(1)) == AnswerStatus::kAccepted));
+  cell.reset();
+  FakeWorker& worker = AddWorker("w1");
+  AddWorker("w2").reachable_ = false;
+  cell = TakeOver("b");
+  BOOST_TEST(RunUntil([&] { return worker.running_.contains(first_); }, 1'500));
+}
+
 BOOST_AUTO_TEST_CASE(Takeover_UnresponsiveWorkerIsUnregistered_IsStillWaitedFor)
 {
   times_.lease_ = 2s;
