A cell writes over several chains, so that a slow store does not bound its jobs

Cause: a cell had one change in flight, of 30 entries, and a job takes four.

Change: cells/WriteLanes holds four chains for jobs and one for the roster, each a CellWriter as before. A further chain is used only once those before it have a full change waiting, so a fast store sees no more changes. Writes about one job keep their order. CellClaim writes all chains in its one change; after that no chain of an earlier owner can store anything. Chains for jobs do not repeat the roster (10 KB with 266 workers) in each change.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "include/quetzal/cells/CellWriter.h"
 #include "include/quetzal/cells/PlacementTickets.h"
 #include "include/quetzal/cells/Worker.h"
+#include "include/quetzal/cells/WriteLanes.h"
 #include "include/quetzal/fleet/Forecast.h"
 #include "include/quetzal/jobs/JobRegistry.h"
 #include "include/quetzal/metrics/Registry.h"
@@ -151,7 +151,7 @@
   {
     Worker* worker_ = nullptr;
     bool rosterRequested_ = false;
-    bool inherited_ = false; ///< A predecessor may have given the worker orders.
+    bool inherited_ = false;  ///< A predecessor may have given the worker orders.
     bool terminated_ = false; ///< Its incarnation has ended; a successor need not poll it.
     double failureScore_ = 0;
     int speedPercent_ = 100; ///< Speed limit of best-effort tasks.
@@ -252,7 +252,7 @@
   CellContext context_;
   std::int64_t fence_;
   std::int64_t nextRun_;
-  CellWriter writer_;
+  WriteLanes writer_;
   jobs::JobRegistry jobs_;
   std::map<std::string, WorkerEntry> workers_;
   /** Waiting callers by job, until the job is stored. */
@@ -275,14 +275,11 @@
   QTimer periodicTimer_;
 };
 
-/** Return the store's key of a job, the prefix of a cell's progress records, and the key of its
- * write chain. */
+/** Return the store's key of a job, and the prefix of a cell's progress records. */
 std::string
 JobKey(const std::string& aId);
 std::string
 ProgressPrefix(const std::string& aService);
-std::string
-WriteChainKey(const std::string& aService);
 
 /** Prefix of the keys of all jobs. */
 inline const std::string kJobPrefix = "quetzal/job/";
--- /dev/null
+++ b/include/quetzal/cells/WriteLanes.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "include/quetzal/cells/CellWriter.h"
+
+#include <map>
+#include <vector>
+
+namespace quetzal::cells {
+
+/** Returns the keys of a cell's write chains. The first one also holds the roster. Whoever claims
+ * the cell writes all of them in one change, after which no write of an earlier owner succeeds. */
+std::vector<std::string>
+WriteChainKeys(const std::string& aCell);
+
+/** Writes a cell's state to the store over several write chains. One chain has one change in flight
+ * at a time; while the store answers slowly, that alone would bound how many jobs a cell accepts.
+ * Further chains are used only once the ones before them have a full change waiting, so that a fast
+ * store gets as few changes as with one chain. Writes about the same subject keep their order. */
+class WriteLanes : public QObject
+{
+  Q_OBJECT
+
+public:
+  /** @param aRevision of the change that claimed the cell. */
+  WriteLanes(store::SharedStore& aStore,
+             const std::string& aCell,
+             const jobs::OwnerRecord& aSelf,
+             std::int64_t aRevision,
+             QObject* aParent);
+
+  /** Stores a write after at most a delay. @param aSubject the id of the job that it is about. */
+  void Add(const std::string& aSubject, CellWrite aWrite, clock::Milliseconds aDelay);
+
+  /** Replaces the roster. See CellWriter::SetRoster. */
+  void SetRoster(std::vector<jobs::RosterEntry> aRoster,
+                 clock::Milliseconds aDelay,
+                 const std::function<void()>& aDone);
+
+  /** Stops writing. Every write that is pending or in flight ends with kOwnershipLost. */
+  void Abandon();
+
+  /** Returns the number of writes that wait for a change in flight. */
+  std::size_t Backlog() const;
+
+  bool IsIdle() const;
+
+  /** Returns whether the store refuses changes or is late to answer one. */
+  bool IsStalled(clock::Moment aNow) const;
+
+Q_SIGNALS:
+  /** The cell has another owner. Nothing more will be written. */
+  void OwnershipLost();
+
+private:
+  /** The chain that carries the unfinished writes about a subject. */
+  struct SubjectLane
+  {
+    CellWriter* writer_ = nullptr;
+    int unfinished_ = 0;
+  };
+
+  CellWriter* ChooseLane() const;
+  void OnFinished(const std::string& aSubject);
+
+  CellWriter* rosterLane_ = nullptr;
+  std::vector<CellWriter*> lanes_; ///< Without the roster's.
+  std::map<std::string, SubjectLane> subjects_;
+};
+
+} // namespace quetzal::cells
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -43,12 +43,6 @@
   return "quetzal/progress/" + aService + "/";
 }
 
-std::string
-WriteChainKey(const std::string& aService)
-{
-  return "quetzal/chain/" + aService;
-}
-
 Cell::Cell(std::string aService,
            CellContext aContext,
            const jobs::OwnerRecord& aSelf,
@@ -60,7 +54,7 @@
   , context_(std::move(aContext))
   , fence_(aFence)
   , nextRun_(aFence * kRunsPerOwner + 1)
-  , writer_(*context_.store_, WriteChainKey(service_), aSelf, aFence, this)
+  , writer_(*context_.store_, service_, aSelf, aFence, this)
   , tickets_(context_.advice_, this)
   , startedAt_(Now())
 {
@@ -70,7 +64,7 @@
   connect(&progressTimer_, &QTimer::timeout, this, &Cell::FlushProgress);
   connect(&periodicTimer_, &QTimer::timeout, this, &Cell::OnPeriodicTimer);
   connect(this, &Cell::OwnershipLost, this, [this] { ownershipLost_ = true; });
-  connect(&writer_, &CellWriter::OwnershipLost, this, &Cell::OwnershipLost);
+  connect(&writer_, &WriteLanes::OwnershipLost, this, &Cell::OwnershipLost);
   connect(&tickets_, &PlacementTickets::Answered, this, &Cell::SchedulePlacement);
   connect(context_.platformState_, &node::PlatformState::WorkersChanged, this, &Cell::SyncWorkers);
   connect(context_.platformState_,
@@ -374,7 +368,7 @@
       }
     }
   };
-  writer_.Add(std::move(write), kAcceptDelay);
+  writer_.Add(aId, std::move(write), kAcceptDelay);
 }
 
 void
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -234,7 +234,7 @@
         }
       }
     };
-    writer_.Add(std::move(write), clock::Milliseconds(0));
+    writer_.Add(id, std::move(write), clock::Milliseconds(0));
   }
 }
 
@@ -291,7 +291,7 @@
         }
       }
     };
-  writer_.Add(std::move(write), kEndDelay);
+  writer_.Add(aJob.id_, std::move(write), kEndDelay);
 }
 
 void
@@ -301,7 +301,7 @@
   for (const std::string& id : jobs_.TakeExpired(oldest, kMaxExpiredAtOnce)) {
     CellWrite write;
     write.removes_.push_back(JobKey(id));
-    writer_.Add(std::move(write), kRemovalDelay);
+    writer_.Add(id, std::move(write), kRemovalDelay);
   }
 }
 
--- a/src/node/CellClaim.cpp
+++ b/src/node/CellClaim.cpp
@@ -59,7 +59,7 @@
 CellClaim::ReadChain()
 {
   const QPointer<CellClaim> self(this);
-  store_.Get(cells::WriteChainKey(cell_), [self](const store::ReadResult& aResult) {
+  store_.Get(cells::WriteChainKeys(cell_).front(), [self](const store::ReadResult& aResult) {
     if (!self) {
       return;
     }
@@ -87,9 +87,13 @@
   ownerRecord.roster_.clear();
   store::Transaction change;
   change.expected_.push_back({ CellKey(cell_), expectedRevision_ });
-  change.expected_.push_back({ cells::WriteChainKey(cell_), aChainRevision });
+  const std::vector<std::string> chains = cells::WriteChainKeys(cell_);
+  change.expected_.push_back({ chains.front(), aChainRevision });
   change.puts_.push_back({ CellKey(cell_), jobs::Encode(ownerRecord), lease_ });
-  change.puts_.push_back({ cells::WriteChainKey(cell_), jobs::Encode(self_), 0 });
+  for (const std::string& chain : chains) {
+    const bool hasRoster = chain == chains.front();
+    change.puts_.push_back({ chain, jobs::Encode(hasRoster ? self_ : ownerRecord), 0 });
+  }
   const QPointer<CellClaim> self(this);
   store_.Commit(change, [self](const store::CommitResult& aResult) {
     if (!self) {
--- a/tests/unit/CellWriterTest.cpp
+++ b/tests/unit/CellWriterTest.cpp
@@ -1,4 +1,4 @@
-#include "include/quetzal/cells/CellWriter.h"
+#include "include/quetzal/cells/WriteLanes.h"
 #include "include/quetzal/node/CellClaim.h"
 #include "include/quetzal/store/PrefixWatch.h"
 #include "tests/unit/MemoryStore.h"
@@ -257,7 +257,7 @@
 {
   jobs::OwnerRecord previous = Owner("b");
   previous.roster_.push_back({ "w1", "127.0.0.1", 80 });
-  store_.Put(WriteChainKey("c"), jobs::Encode(previous));
+  store_.Put(WriteChainKeys("c").front(), jobs::Encode(previous));
   for (int i = 0; i < 7; ++i) {
     store_.Put(JobKey("job" + std::to_string(i)), "x");
   }
@@ -270,7 +270,7 @@
   BOOST_REQUIRE(won.has_value());
   BOOST_TEST(won->predecessorState_.jobs_.size() == 7U);
   BOOST_TEST(won->predecessorState_.roster_.size() == 1U);
-  BOOST_TEST(won->fence_ == store_.RevisionOf(WriteChainKey("c")));
+  BOOST_TEST(won->fence_ == store_.RevisionOf(WriteChainKeys("c").front()));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
