Under overload, jobs that will be late come last by what jobs have taken

Cause: a job counted as late only once the estimates of its remaining steps no longer fitted before its objective.

Change: placement/JobOrder, pure, ranks jobs; the cell learns from completed jobs how long they take from their first task to their end, as a multiple of the critical path, and a job is late when that no longer fits.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -7,13 +7,13 @@
 #include "include/quetzal/jobs/JobRegistry.h"
 #include "include/quetzal/metrics/Registry.h"
 #include "include/quetzal/node/PlatformState.h"
+#include "include/quetzal/placement/JobOrder.h"
 #include "include/quetzal/placement/Placement.h"
 
 #include <QtCore/QObject>
 #include <QtCore/QTimer>
 #include <functional>
 #include <map>
-#include <tuple>
 
 namespace quetzal::cells {
 
@@ -182,9 +182,7 @@
   /** A job with waiting tasks, and its place in the order of placement. */
   struct WaitingJob
   {
-    using Key = std::tuple<bool, int, bool, bool, clock::Moment>;
-
-    Key key_; ///< Jobs with lower keys come first.
+    placement::JobRank rank_;
     jobs::Job* job_ = nullptr;
   };
 
@@ -266,6 +264,7 @@
   int unschedulableEvictions_ = 0;
   std::deque<fleet::Arrival> arrivals_;
   double estimateBias_ = 1; ///< Moving average of tasks' durations as multiples of their estimates.
+  double pathFactor_ = 1;   ///< See placement::RankOf.
   clock::Moment startedAt_;
   bool rosterIsComplete_ = true; ///< A roster with every worker has been given to the writer.
   bool handingOver_ = false;
--- a/include/quetzal/jobs/JobTable.h
+++ b/include/quetzal/jobs/JobTable.h
@@ -64,6 +64,7 @@
   std::set<int> occurrencesDone_;
   int nextOccurrence_ = 0;       ///< The first repetition that is not yet due.
   bool started_ = false;         ///< A task has been placed or has made progress.
+  clock::Moment startedAt_{};    ///< When this owner placed the first task.
   bool fromPredecessor_ = false; ///< Accepted by an earlier owner, which may have placed tasks.
   bool longRunning_ = false;
   bool stored_ = false;      ///< The store holds the job.
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -118,6 +118,7 @@
     jobs::ApplyEnd(job, aTask, aRun, aKind, aCheckpoint, MaxAttempts(job));
   jobs_.Update(job);
   if (effect.jobCompleted_) {
+    pathFactor_ = placement::NextPathFactor(pathFactor_, job, Now());
     FinishJob(job, jobs::JobState::kCompleted, confirm);
   } else if (effect.jobFailed_) {
     StopTasks(job);
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <tuple>
 
 /** Placement of a cell's tasks and of speculative copies. */
 
@@ -82,6 +81,7 @@
   const jobs::Configuration& configuration = context_.platformState_->Configuration();
   std::map<std::string, const jobs::Queue*> queues;
   const bool isSynchronized = IsSynchronized();
+  const double pathFactor = std::max(estimateBias_, pathFactor_);
   for (const auto& [id, job] : jobs_.Waiting()) {
     if (job->fromPredecessor_ && !isSynchronized) {
       continue;
@@ -90,12 +90,7 @@
     if (added) {
       queue->second = jobs::FindQueueByName(configuration, job->queue_);
     }
-    const int priority = queue->second == nullptr ? 0 : queue->second->priority_;
-    const auto criticalPath = job->remainingPath_ * estimateBias_;
-    const bool isLate = aNow + std::chrono::duration_cast<clock::Moment::duration>(criticalPath) >
-                        jobs::ObjectiveOf(*job, queue->second);
-    waiting.push_back(
-      { { !job->longRunning_, priority, isLate, !job->started_, job->arrivedAt_ }, job });
+    waiting.push_back({ placement::RankOf(*job, queue->second, pathFactor, aNow), job });
   }
   return waiting;
 }
@@ -140,7 +135,7 @@
   int unplaced = 0;
   // A heap, as a round under load ends long before it has seen all jobs.
   const auto comesLater = [](const WaitingJob& aLeft, const WaitingJob& aRight) {
-    return aLeft.key_ > aRight.key_;
+    return aLeft.rank_ > aRight.rank_;
   };
   std::vector<WaitingJob> waiting = WaitingJobs(now);
   std::make_heap(waiting.begin(), waiting.end(), comesLater);
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -264,6 +264,9 @@
   task->run_ = aRun;
   task->worker_ = aWorker;
   task->placedAt_ = aNow;
+  if (!aJob.started_) {
+    aJob.startedAt_ = aNow;
+  }
   aJob.started_ = true;
   if (aJob.state_ == JobState::kQueued) {
     aJob.state_ = JobState::kRunning;
