A fleet's owner does not wait for itself after a restart

Cause: a new owner of the fleet waits 3.2 s before its first order, since two holders must not take turns within the lease time.

Change: the claim reports the previous owner's name; where that is this host, orders begin after 0.6 s, when those of the earlier process have ended. Its hand-over record stays incomplete for the whole gap, as what the earlier process ordered is not known, so another successor still waits.

Tests: FleetOwnership/Owner_WasTheOwnerBeforeItsRestart_OrdersSoon (failed before) and Owner_HandsOverSoonAfterItsRestart_RecordIsNotComplete.

--- a/include/quetzal/node/CellClaim.h
+++ b/include/quetzal/node/CellClaim.h
@@ -12,6 +12,7 @@
 {
   std::int64_t fence_ = 0;
   std::int64_t keyRevision_ = 0;
+  std::string previousOwner_; ///< Host that owned the cell before; empty: none.
   std::int64_t chainRevisionBefore_ =
     0; ///< Revision of the write chain's key when the cell was claimed.
   cells::PredecessorState predecessorState_;
--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -27,6 +27,7 @@
   std::string holder_;                ///< This host's name.
   std::int64_t fence_ = 0;            ///< Greater than that of every earlier owner.
   std::int64_t predecessorFence_ = 0; ///< The previous owner's fence; 0: none.
+  bool predecessorWasSelf_ = false;   ///< An earlier process on this host was the last owner.
   std::function<bool()> isHeld_;      ///< Whether this host's lease excludes any other owner.
 };
 
--- a/src/node/CellClaim.cpp
+++ b/src/node/CellClaim.cpp
@@ -75,6 +75,7 @@
     }
     self->claimed_.predecessorState_.roster_ = previous.roster_;
     self->self_.roster_ = previous.roster_;
+    self->claimed_.previousOwner_ = previous.owner_;
     self->claimed_.chainRevisionBefore_ = revision;
     self->Commit(revision);
   });
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -26,6 +26,8 @@
 constexpr clock::Milliseconds kMaxListLag{ 700 };
 /** After an owner takes over, it returns no hosts to the standby pool for this time. */
 constexpr clock::Milliseconds kNoReturnWindow{ 8'000 };
+/** Time for orders of an earlier process on this host to be executed. */
+constexpr clock::Milliseconds kOwnOrdersEnd{ 600 };
 constexpr clock::Milliseconds kStatusRetryDelay{ 300 };
 /** Largest assumed difference between the system clocks of entry hosts. */
 constexpr clock::Milliseconds kMaxClockSkew{ 2'500 };
@@ -168,9 +170,12 @@
 bool
 FleetManager::MayOrder() const
 {
+  // The last orders of an earlier process on this host were given by the same holder; they only
+  // must have ended.
+  const clock::Milliseconds gap =
+    ownership_.predecessorWasSelf_ ? kOwnOrdersEnd : options_.orderGap_;
   const bool predecessorIsKnown = predecessorHandOver_.has_value();
-  return !stopped_ && ownership_.isHeld_() &&
-         (predecessorIsKnown || Now() - startedAt_ > options_.orderGap_);
+  return !stopped_ && ownership_.isHeld_() && (predecessorIsKnown || Now() - startedAt_ > gap);
 }
 
 bool
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -233,6 +233,7 @@
   ownership.holder_ = settings_.name_;
   ownership.fence_ = aClaimed.fence_;
   ownership.predecessorFence_ = aClaimed.chainRevisionBefore_;
+  ownership.predecessorWasSelf_ = aClaimed.previousOwner_ == settings_.name_;
   ownership.isHeld_ = [this] { return membership_.HoldsLease(); };
   fleetKeyRevision_ = aClaimed.keyRevision_;
   fleet_ = new FleetManager(
--- a/tests/unit/FleetManagerTest.cpp
+++ b/tests/unit/FleetManagerTest.cpp
@@ -79,7 +79,9 @@
                                             std::int64_t aFence,
                                             std::int64_t aPredecessor)
   {
-    node::FleetOwnership ownership{ aName, aFence, aPredecessor, [this] { return leaseHeld_; } };
+    node::FleetOwnership ownership{ aName, aFence, aPredecessor, aName == ownerBefore_, [this] {
+                                     return leaseHeld_;
+                                   } };
     return std::make_unique<node::FleetManager>(
       hosts_, store_, feed_, metrics_, ownership, options_, nullptr);
   }
@@ -113,6 +115,7 @@
   node::FleetOptions options_;
   double wantedCores_ = 20;
   bool leaseHeld_ = true;
+  std::string ownerBefore_; ///< Host whose earlier process owned the fleet last.
 };
 
 BOOST_FIXTURE_TEST_SUITE(FleetOwnership, FleetFixture)
@@ -126,6 +129,29 @@
   BOOST_TEST((hosts_.orders_.front().at_ - startedAt >= options_.orderGap_));
 }
 
+/** After a power failure a host claims what it owned before. It must not wait for itself. */
+BOOST_AUTO_TEST_CASE(Owner_WasTheOwnerBeforeItsRestart_OrdersSoon)
+{
+  options_.orderGap_ = 5s;
+  const auto startedAt = std::chrono::steady_clock::now();
+  ownerBefore_ = "a";
+  const auto owner = Begin("a", 20, 10);
+  Run(*owner, 1'800ms);
+  BOOST_REQUIRE(!hosts_.orders_.empty());
+  BOOST_TEST((hosts_.orders_.front().at_ - startedAt >= 600ms));
+}
+
+/** What the earlier process ordered is not known, so a successor must wait for the whole gap. */
+BOOST_AUTO_TEST_CASE(Owner_HandsOverSoonAfterItsRestart_RecordIsNotComplete)
+{
+  options_.orderGap_ = 5s;
+  ownerBefore_ = "a";
+  const auto owner = Begin("a", 20, 10);
+  Run(*owner, 1'200ms);
+  owner->Stop();
+  BOOST_TEST(owner->HandOver().fence_ == 0);
+}
+
 BOOST_AUTO_TEST_CASE(Owner_FleetHandedOver_OrdersAtOnceExceptRecentlyOrderedHosts)
 {
   auto first = Begin("a", 10, 0);
