--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -114,7 +114,7 @@
     candidate.hasLatencySensitive_ = state.counts_.latencySensitive_ > 0;
     candidate.hasBestEffort_ = state.counts_.bestEffort_ > 0;
     candidate.failureScore_ = entry.failureScore_ > kHighFailureScore ? 1 : 0;
-    candidates.push_back(std::move(candidate));
+    candidates.push_back(candidate);
     aEntries.push_back(const_cast<WorkerEntry*>(&entry));
   }
   return candidates;
