Ends are acknowledged only once a successor knows them; workers keep theirs

Jobs had all their tasks done and waited for their own end to be stored. Registrations lapsed, so workers without runs were removed, with ends that were not stored; when they registered again, they listed these ends again. An end of a job that was itself ending was acknowledged at once. Then another host claimed the cell: it found neither the jobs' ends nor their runs' ends.

Change: the end of a run of a job that is ending is acknowledged once the job's end is stored. A worker that has left is kept until its ends are stored. A worker that has left before it ever answered, and that no predecessor may have given orders, is removed; since takeovers no longer wait for it, it would otherwise have been polled for good.

Tests, both failing before: CellOwnership/ End_OfAJobWhoseOwnEndIsNotStored_IsNotAcknowledged (also shown with a cancel whose end is not stored) and Worker_LosesItsRegistrationBeforeItsEndIsStored_IsNotForgotten.

Ruled out: the write chains (their fences and order hold in the logs; no worker was taken for reborn).

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -167,6 +167,8 @@
   std::vector<jobs::RosterEntry> Roster() const;
   void ExpireUnresponsiveWorkers();
   bool IsSynchronized() const;
+  /** Returns whether a worker has left and nothing is known of it that still matters. */
+  bool MayRemove(const WorkerEntry& aEntry) const;
 
   void OnRunEnded(WorkerEntry& aEntry,
                   const jobs::TaskId& aTask,
@@ -257,6 +259,8 @@
   std::map<std::string, std::vector<AnswerCallback>> submitting_;
   std::map<std::string, std::vector<AnswerCallback>> cancelling_;
   std::map<std::string, std::vector<std::function<void()>>> progressWaiters_; ///< By job.
+  /** Called once the end of a job is stored, by job. */
+  std::map<std::string, std::vector<std::function<void()>>> endWaiters_;
   PlacementTickets tickets_;
   std::set<std::string> cordoned_;
   /** Tasks to be evicted for which no other worker has room, counted since the last call of
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -102,10 +102,15 @@
             id,
             " number=",
             aNumber);
-  if (found == nullptr || found->ending_) {
+  if (found == nullptr) {
     confirm();
     return;
   }
+  if (found->ending_) {
+    // Until the job's end is stored, a successor does not know it and needs the end of this run.
+    endWaiters_[aTask.job_].push_back(confirm);
+    return;
+  }
   jobs::Job& job = *found;
   if (const jobs::TaskState* task = jobs::FindTask(job, aTask);
       task != nullptr && aKind == jobs::EndKind::kDone) {
@@ -246,12 +251,12 @@
   tickets_.RemoveJob(aJob.id_);
   jobs::Recount(aJob);
   jobs_.Update(aJob);
-  std::vector<std::function<void()>> done;
-  if (auto waiters = progressWaiters_.extract(aJob.id_); !waiters.empty()) {
-    done = std::move(waiters.mapped());
+  std::vector<std::function<void()>>& waiters = endWaiters_[aJob.id_];
+  if (auto forProgress = progressWaiters_.extract(aJob.id_); !forProgress.empty()) {
+    waiters = std::move(forProgress.mapped());
   }
   if (aDone) {
-    done.push_back(std::move(aDone));
+    waiters.push_back(std::move(aDone));
   }
   const std::int64_t endedMs = UnixMs();
   CellWrite write;
@@ -261,37 +266,37 @@
   if (aJob.hasProgress_) {
     write.removes_.push_back(ProgressPrefix(service_) + aJob.id_);
   }
-  write.done_ =
-    [this, id = aJob.id_, aState, endedMs, done = std::move(done)](const WriteResult& aResult) {
-      auto cancels = cancelling_.extract(id);
-      const bool stored = aResult.outcome_ == WriteOutcome::kStored;
-      const jobs::Job* job = jobs_.Find(id);
-      if (stored && job != nullptr) {
-        context_.metrics_->Add("quetzal_jobs_ended_total", { { "state", jobs::ToString(aState) } });
-        context_.metrics_->Observe(
-          "quetzal_job_seconds", { { "service", service_ } }, Now() - job->arrivedAt_);
-        log::Info("cell",
-                  "event=job-ended cell=",
-                  service_,
-                  " job=",
-                  id,
-                  " queue=",
-                  job->queue_,
-                  " state=",
-                  jobs::ToString(aState),
-                  " after_ms=",
-                  std::chrono::duration_cast<clock::Milliseconds>(Now() - job->arrivedAt_).count());
-        jobs_.End(id, { aState, endedMs });
-        for (const auto& callback : done) {
-          callback();
-        }
+  write.done_ = [this, id = aJob.id_, aState, endedMs](const WriteResult& aResult) {
+    auto cancels = cancelling_.extract(id);
+    const auto ended = endWaiters_.extract(id);
+    const bool stored = aResult.outcome_ == WriteOutcome::kStored;
+    const jobs::Job* job = jobs_.Find(id);
+    if (stored && job != nullptr) {
+      context_.metrics_->Add("quetzal_jobs_ended_total", { { "state", jobs::ToString(aState) } });
+      context_.metrics_->Observe(
+        "quetzal_job_seconds", { { "service", service_ } }, Now() - job->arrivedAt_);
+      log::Info("cell",
+                "event=job-ended cell=",
+                service_,
+                " job=",
+                id,
+                " queue=",
+                job->queue_,
+                " state=",
+                jobs::ToString(aState),
+                " after_ms=",
+                std::chrono::duration_cast<clock::Milliseconds>(Now() - job->arrivedAt_).count());
+      jobs_.End(id, { aState, endedMs });
+      for (const auto& callback : ended.mapped()) {
+        callback();
       }
-      if (!cancels.empty()) {
-        for (const AnswerCallback& callback : cancels.mapped()) {
-          callback({ stored ? AnswerStatus::kCancelled : AnswerStatus::kUnknownOutcome });
-        }
+    }
+    if (!cancels.empty()) {
+      for (const AnswerCallback& callback : cancels.mapped()) {
+        callback({ stored ? AnswerStatus::kCancelled : AnswerStatus::kUnknownOutcome });
       }
-    };
+    }
+  };
   writer_.Add(aJob.id_, std::move(write), kEndDelay);
 }
 
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -240,8 +240,7 @@
         }
       }
     }
-    if (!entry.worker_->IsRegistered() && entry.worker_->IsSynchronized() &&
-        entry.worker_->State().runs_.empty() && context_.platformState_->HasWorkers()) {
+    if (MayRemove(entry)) {
       removed.push_back(id);
     }
   }
@@ -260,6 +259,18 @@
   SchedulePlacement();
 }
 
+bool
+Cell::MayRemove(const WorkerEntry& aEntry) const
+{
+  const Worker& worker = *aEntry.worker_;
+  if (worker.IsRegistered() || !context_.platformState_->HasWorkers()) {
+    return false;
+  }
+  const bool isUnknown = aEntry.inherited_ && !worker.IsSynchronized();
+  // If the worker only lost its registration, it would list ends that are not stored yet again.
+  return !isUnknown && worker.State().runs_.empty() && worker.State().unrecordedEnds_.empty();
+}
+
 // --- Sharing --------------------------------------------------------------------------------
 
 void
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -49,6 +49,40 @@
   BOOST_TEST(worker.ended_.size() == 1U);
 }
 
+/** A successor to which a job's end is unknown needs the ends of its runs, or starts its tasks again
+ * (large/, mix, seed 494336760919). */
+BOOST_AUTO_TEST_CASE(End_OfAJobWhoseOwnEndIsNotStored_IsNotAcknowledged)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(1));
+  BOOST_TEST(WaitForRun(worker, first_));
+  for (int i = 0; i < 100; ++i) {
+    store_.InjectFault(CommitFault::kRefused);
+  }
+  cell->Cancel("job1", [](const Answer&) {});
+  worker.End(first_, jobs::EndKind::kDone);
+  RunFor(500ms);
+  BOOST_TEST(worker.ended_.size() == 1U);
+}
+
+/** While the store is away registrations lapse, and come back with it. */
+BOOST_AUTO_TEST_CASE(Worker_LosesItsRegistrationBeforeItsEndIsStored_IsNotForgotten)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(1));
+  BOOST_TEST(WaitForRun(worker, first_));
+  for (int i = 0; i < 100; ++i) {
+    store_.InjectFault(CommitFault::kRefused);
+  }
+  worker.End(first_, jobs::EndKind::kDone);
+  RunFor(300ms);
+  platformState_.Unregister("w1");
+  RunFor(500ms);
+  BOOST_TEST(cell->Report().workers_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(Takeover_TasksAreRunning_AreAdoptedNotStartedAgain)
 {
   FakeWorker& worker = AddWorker("w1");
