--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -49,8 +49,8 @@
   BOOST_TEST(worker.ended_.size() == 1U);
 }
 
-/** A successor to which a job's end is unknown needs the ends of its runs, or starts its tasks again
- * (large/, mix, seed 494336760919). */
+/** A successor to which a job's end is unknown needs the ends of its runs, or starts its tasks
+ * again (large/, mix, seed 494336760919). */
 BOOST_AUTO_TEST_CASE(End_OfAJobWhoseOwnEndIsNotStored_IsNotAcknowledged)
 {
   FakeWorker& worker = AddWorker("w1");
