--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -2,7 +2,7 @@
 
 #include "include/quetzal/cells/PlacementTickets.h"
 #include "include/quetzal/cells/Worker.h"
-#include "include/quetzal/cells/WriteLanes.h"
+#include "include/quetzal/cells/WriteChains.h"
 #include "include/quetzal/fleet/Forecast.h"
 #include "include/quetzal/jobs/JobRegistry.h"
 #include "include/quetzal/metrics/Registry.h"
@@ -167,7 +167,7 @@
   std::vector<jobs::RosterEntry> Roster() const;
   void ExpireUnresponsiveWorkers();
   bool IsSynchronized() const;
-  /** Returns whether a worker has left and nothing is known of it that still matters. */
+  /** Returns whether a worker has left, cannot run anything, and has no ends left to store. */
   bool MayRemove(const WorkerEntry& aEntry) const;
 
   void OnRunEnded(WorkerEntry& aEntry,
@@ -252,7 +252,7 @@
   CellContext context_;
   std::int64_t fence_;
   std::int64_t nextRun_;
-  WriteLanes writer_;
+  WriteChains writer_;
   jobs::JobRegistry jobs_;
   std::map<std::string, WorkerEntry> workers_;
   /** Waiting callers by job, until the job is stored. */
--- a/include/quetzal/cells/WriteLanes.h
+++ b/include/quetzal/cells/WriteChains.h
@@ -16,17 +16,17 @@
  * at a time; while the store answers slowly, that alone would bound how many jobs a cell accepts.
  * Further chains are used only once the ones before them have a full change waiting, so that a fast
  * store gets as few changes as with one chain. Writes about the same subject keep their order. */
-class WriteLanes : public QObject
+class WriteChains : public QObject
 {
   Q_OBJECT
 
 public:
   /** @param aRevision of the change that claimed the cell. */
-  WriteLanes(store::SharedStore& aStore,
-             const std::string& aCell,
-             const jobs::OwnerRecord& aSelf,
-             std::int64_t aRevision,
-             QObject* aParent);
+  WriteChains(store::SharedStore& aStore,
+              const std::string& aCell,
+              const jobs::OwnerRecord& aSelf,
+              std::int64_t aRevision,
+              QObject* aParent);
 
   /** Stores a write after at most a delay. @param aSubject the id of the job that it is about. */
   void Add(const std::string& aSubject, CellWrite aWrite, clock::Milliseconds aDelay);
@@ -52,19 +52,19 @@
   void OwnershipLost();
 
 private:
-  /** The chain that carries the unfinished writes about a subject. */
-  struct SubjectLane
+  /** The unfinished writes about one subject, and the chain that carries them. */
+  struct SubjectChain
   {
     CellWriter* writer_ = nullptr;
     int unfinished_ = 0;
   };
 
-  CellWriter* ChooseLane() const;
+  CellWriter* ChooseChain() const;
   void OnFinished(const std::string& aSubject);
 
-  CellWriter* rosterLane_ = nullptr;
-  std::vector<CellWriter*> lanes_; ///< Without the roster's.
-  std::map<std::string, SubjectLane> subjects_;
+  CellWriter* rosterChain_ = nullptr;
+  std::vector<CellWriter*> jobChains_; ///< In the order in which they are filled.
+  std::map<std::string, SubjectChain> subjects_;
 };
 
 } // namespace quetzal::cells
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -64,7 +64,7 @@
   connect(&progressTimer_, &QTimer::timeout, this, &Cell::FlushProgress);
   connect(&periodicTimer_, &QTimer::timeout, this, &Cell::OnPeriodicTimer);
   connect(this, &Cell::OwnershipLost, this, [this] { ownershipLost_ = true; });
-  connect(&writer_, &WriteLanes::OwnershipLost, this, &Cell::OwnershipLost);
+  connect(&writer_, &WriteChains::OwnershipLost, this, &Cell::OwnershipLost);
   connect(&tickets_, &PlacementTickets::Answered, this, &Cell::SchedulePlacement);
   connect(context_.platformState_, &node::PlatformState::WorkersChanged, this, &Cell::SyncWorkers);
   connect(context_.platformState_,
--- a/tests/unit/CellWriterTest.cpp
+++ b/tests/unit/CellWriterTest.cpp
@@ -1,4 +1,4 @@
-#include "include/quetzal/cells/WriteLanes.h"
+#include "include/quetzal/cells/WriteChains.h"
 #include "include/quetzal/node/CellClaim.h"
 #include "include/quetzal/store/PrefixWatch.h"
 #include "tests/unit/MemoryStore.h"
--- a/tests/unit/WriteLanesTest.cpp
+++ b/tests/unit/WriteChainsTest.cpp
@@ -1,4 +1,4 @@
-#include "include/quetzal/cells/WriteLanes.h"
+#include "include/quetzal/cells/WriteChains.h"
 #include "tests/unit/MemoryStore.h"
 
 #include <QtCore/QCoreApplication>
@@ -15,7 +15,7 @@
 using quetzal::test::MemoryStore;
 using namespace std::chrono_literals;
 
-struct WriteLanesFixture
+struct WriteChainsFixture
 {
   static jobs::OwnerRecord Owner(const std::string& aName)
   {
@@ -66,17 +66,17 @@
   MemoryStore store_;
 };
 
-BOOST_FIXTURE_TEST_SUITE(WriteLanesTest, WriteLanesFixture)
+BOOST_FIXTURE_TEST_SUITE(WriteChainsTest, WriteChainsFixture)
 
 BOOST_AUTO_TEST_CASE(Writes_StoreIsFast_AreOneChange)
 {
   const std::int64_t revision = Claim(store_, "a");
-  WriteLanes lanes(store_, "svc", Owner("a"), revision, nullptr);
+  WriteChains chains(store_, "svc", Owner("a"), revision, nullptr);
   const std::size_t before = store_.CommitCount();
   int stored = 0;
   for (int i = 0; i < 8; ++i) {
     const std::string id = "job" + std::to_string(i);
-    lanes.Add(id, Put(id, "1", [&stored](const auto&) { ++stored; }), 2ms);
+    chains.Add(id, Put(id, "1", [&stored](const auto&) { ++stored; }), 2ms);
   }
   Pump(20ms);
   store_.AnswerAll();
@@ -86,10 +86,10 @@
 
 /** A store that takes 200 ms for each answer, under 300 submissions a second for two seconds, each
  * with two entries. One chain stores 15 of them with each change, 150 in that time. */
-BOOST_AUTO_TEST_CASE(Submissions_StoreIsSlow_AreStoredByAllLanes)
+BOOST_AUTO_TEST_CASE(Submissions_StoreIsSlow_AreStoredByAllChains)
 {
   const std::int64_t revision = Claim(store_, "a");
-  WriteLanes lanes(store_, "svc", Owner("a"), revision, nullptr);
+  WriteChains chains(store_, "svc", Owner("a"), revision, nullptr);
   int stored = 0;
   int next = 0;
   for (int answer = 0; answer < 10; ++answer) {
@@ -97,7 +97,7 @@
       const std::string id = "job" + std::to_string(next++);
       CellWrite write = Put(id, "1", [&stored](const auto&) { ++stored; });
       write.mustBeAbsent_ = id;
-      lanes.Add(id, std::move(write), 0ms);
+      chains.Add(id, std::move(write), 0ms);
     }
     Pump(10ms);
     // The answers to all changes that are in flight arrive now, 200 ms after the last ones.
@@ -109,15 +109,15 @@
   BOOST_TEST(stored >= 500);
 }
 
-BOOST_AUTO_TEST_CASE(Writes_AboutOneJobWhileLanesAreFull_KeepTheirOrder)
+BOOST_AUTO_TEST_CASE(Writes_AboutOneJobWhileChainsAreFull_KeepTheirOrder)
 {
   const std::int64_t revision = Claim(store_, "a");
-  WriteLanes lanes(store_, "svc", Owner("a"), revision, nullptr);
+  WriteChains chains(store_, "svc", Owner("a"), revision, nullptr);
   std::vector<int> order;
   for (int i = 0; i < 200; ++i) {
     const std::string value = std::to_string(i);
-    lanes.Add("job", Put("job", value, [&order, i](const auto&) { order.push_back(i); }), 0ms);
-    lanes.Add("other" + value, Put("other" + value, value, {}), 0ms);
+    chains.Add("job", Put("job", value, [&order, i](const auto&) { order.push_back(i); }), 0ms);
+    chains.Add("other" + value, Put("other" + value, value, {}), 0ms);
   }
   for (int i = 0; i < 60; ++i) {
     Pump(1ms);
@@ -128,26 +128,26 @@
   BOOST_TEST(ValueOf("job") == "199");
 }
 
-/** After a takeover no lane may store anything, not even one that was not used until then. */
-BOOST_AUTO_TEST_CASE(Writes_AfterATakeover_AreStoredByNoLane)
+/** After a takeover no chain may store anything, not even one that was not used until then. */
+BOOST_AUTO_TEST_CASE(Writes_AfterATakeover_AreStoredByNoChain)
 {
   const std::int64_t revision = Claim(store_, "a");
-  WriteLanes lanes(store_, "svc", Owner("a"), revision, nullptr);
+  WriteChains chains(store_, "svc", Owner("a"), revision, nullptr);
   bool lost = false;
-  QObject::connect(&lanes, &WriteLanes::OwnershipLost, &lanes, [&lost] { lost = true; });
+  QObject::connect(&chains, &WriteChains::OwnershipLost, &chains, [&lost] { lost = true; });
   Claim(store_, "b");
   int ended = 0;
   int stored = 0;
   for (int i = 0; i < 100; ++i) {
     const std::string id = "job" + std::to_string(i);
-    lanes.Add(id,
-              Put(id,
-                  "1",
-                  [&](const WriteResult& aResult) {
-                    ++ended;
-                    stored += aResult.outcome_ == WriteOutcome::kStored ? 1 : 0;
-                  }),
-              0ms);
+    chains.Add(id,
+               Put(id,
+                   "1",
+                   [&](const WriteResult& aResult) {
+                     ++ended;
+                     stored += aResult.outcome_ == WriteOutcome::kStored ? 1 : 0;
+                   }),
+               0ms);
   }
   Pump(10ms);
   store_.AnswerAll();
@@ -169,7 +169,7 @@
     for (int owner = 0; owner < 3; ++owner) {
       const std::string name(1, static_cast<char>('a' + owner));
       const std::int64_t revision = Claim(store, name);
-      WriteLanes lanes(store, "svc", Owner(name), revision, nullptr);
+      WriteChains chains(store, "svc", Owner(name), revision, nullptr);
       constexpr int kWrites = 80;
       int ended = 0;
       for (int i = 0; i < kWrites; ++i) {
@@ -182,7 +182,7 @@
             reported[key] = std::max(reported[key], value);
           }
         };
-        lanes.Add(key, Put(key, std::to_string(value), done), 0ms);
+        chains.Add(key, Put(key, std::to_string(value), done), 0ms);
         if (random() % 8 == 0) {
           Pump(1ms);
           store.AnswerNext();
