A descriptor that cannot be watched does not end the process

Cause: UvSocket used its libuv handle also where uv_poll_init had failed, as it does for a file, or when the system's limit of watches is reached.

Change: such a descriptor is logged (event=not-watched) and never reports an event. Test: UvDispatcher/Notifier_OfADescriptorThatCannotBeWatched_IsIgnored (a memory access violation before).

--- a/src/event/UvHandles.cpp
+++ b/src/event/UvHandles.cpp
@@ -1,5 +1,7 @@
 #include "src/event/UvHandles.h"
 
+#include "include/quetzal/log/Log.h"
+
 #include <QtCore/QCoreApplication>
 #include <algorithm>
 #include <stdexcept>
@@ -93,9 +95,15 @@
 // --- Sockets -------------------------------------------------------------------------------------
 
 UvSocket::UvSocket(UvLoop& aLoop, qintptr aDescriptor)
-  : handle_(new uv_poll_t)
 {
-  uv_poll_init(aLoop.Get(), handle_.get(), static_cast<int>(aDescriptor));
+  auto handle = std::make_unique<uv_poll_t>();
+  const int result = uv_poll_init(aLoop.Get(), handle.get(), static_cast<int>(aDescriptor));
+  if (result != 0) {
+    log::Warn(
+      "event", "event=not-watched descriptor=", aDescriptor, " error=", uv_strerror(result));
+    return;
+  }
+  handle_.reset(handle.release());
   handle_->data = this;
 }
 
@@ -127,7 +135,7 @@
 UvSocket::Update()
 {
   const int wanted = WantedEvents();
-  if (wanted == events_) {
+  if (handle_ == nullptr || wanted == events_) {
     return;
   }
   events_ = wanted;
--- a/src/event/UvHandles.h
+++ b/src/event/UvHandles.h
@@ -91,7 +91,7 @@
   int events_ = 0;                              ///< Events that libuv waits for.
   /** Shared with a call of OnReady, which may destroy this object through a notifier. */
   std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
-  UvHandle<uv_poll_t> handle_;
+  UvHandle<uv_poll_t> handle_; ///< Null if the system cannot wait for the descriptor.
 };
 
 } // namespace quetzal::event
--- a/tests/unit/UvDispatcherTest.cpp
+++ b/tests/unit/UvDispatcherTest.cpp
@@ -7,6 +7,7 @@
 #include <QtCore/QTimer>
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <fcntl.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -171,6 +172,21 @@
   BOOST_TEST(received == 1);
 }
 
+/** The system cannot wait for a file. A notifier of one must not end the process. */
+BOOST_AUTO_TEST_CASE(Notifier_OfADescriptorThatCannotBeWatched_IsIgnored)
+{
+  Run([](QEventLoop& aLoop) {
+    const int file = ::open("/proc/self/exe", O_RDONLY | O_CLOEXEC);
+    BOOST_REQUIRE(file >= 0);
+    auto* notifier = new QSocketNotifier(file, QSocketNotifier::Read, &aLoop);
+    QTimer::singleShot(10, &aLoop, [&aLoop, notifier, file] {
+      delete notifier;
+      ::close(file);
+      aLoop.quit();
+    });
+  });
+}
+
 BOOST_AUTO_TEST_CASE(Wait_DuringWhichAnotherThreadPosts_Ends)
 {
   bool called = false;
