Requests that are open when a process ends are logged

The logs could not tell the hypotheses apart: at the end of a process they said only whether a caller's connection was busy. Now each open request is logged with what it waits for (stage: its own cell, another owner, the next attempt, the store), its age and its timeout, and call-timeout says how many other calls went down with the connection.

Callers' requests are kept in OpenRequests, which also answers each when its time is over. That was a timer for each attempt of a request before, and is one for each request now. No other logic is changed.

--- a/include/quetzal/node/JobRequestHandler.h
+++ b/include/quetzal/node/JobRequestHandler.h
@@ -25,6 +25,7 @@
   jobs::JobSpec spec_;                   ///< Set for kSubmit.
   clock::Milliseconds timeout_{ 3'000 }; ///< How long the caller waits for an answer.
   bool outcomeUnknown_ = false; ///< An owner may have stored the change without confirming it.
+  std::uint64_t number_ = 0;    ///< Set by OpenRequests; 0 for a request of another entry host.
 };
 
 /** Answers callers' requests about jobs, whichever entry host owns the job's cell. */
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -4,6 +4,7 @@
 #include "include/quetzal/node/FleetManager.h"
 #include "include/quetzal/node/JobRequestHandler.h"
 #include "include/quetzal/node/NodeSettings.h"
+#include "include/quetzal/node/OpenRequests.h"
 #include "include/quetzal/node/PeerLinks.h"
 
 #include <QtCore/QObject>
@@ -43,6 +44,9 @@
   bool IsReady() const override;
   bool IsStopping() const { return stopping_; }
 
+  /** Callers' requests without an answer. */
+  const OpenRequests& Requests() const { return requests_; }
+
 Q_SIGNALS:
   /** Every cell has been released; cells that were not idle in time are released after a timeout.
    */
@@ -69,6 +73,8 @@
   std::vector<std::string> ConfiguredCells() const;
   jobs::OwnerRecord MakeOwnerRecord() const;
 
+  /** Sends a request to whoever owns its cell now. */
+  void Route(const JobRequest& aRequest, const cells::AnswerCallback& aDone);
   void HandleLocally(cells::Cell& aCell, const JobRequest& aRequest, cells::AnswerCallback aDone);
   void HandleAtPeer(const jobs::OwnerRecord& aOwner,
                     const JobRequest& aRequest,
@@ -93,6 +99,7 @@
   metrics::Registry& metrics_;
   Membership membership_;
   PeerLinks links_;
+  OpenRequests requests_;
   std::map<std::string, OwnedCell> cells_;
   std::map<std::string, CellClaim*> claims_;
   std::map<std::string, clock::Moment> vacantSince_;
--- /dev/null
+++ b/include/quetzal/node/OpenRequests.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "include/quetzal/node/JobRequestHandler.h"
+
+#include <QtCore/QObject>
+#include <map>
+#include <string>
+
+namespace quetzal::node {
+
+/** Subtracted from a caller's timeout so that the answer arrives in time. */
+inline constexpr clock::Milliseconds kAnswerMargin{ 100 };
+
+/** What an open request waits for. */
+enum class RequestStage : std::uint8_t
+{
+  kArrived,
+  kOwnCell, ///< A cell of this process.
+  kOwner,   ///< Another entry host, which owns the cell.
+  kRetry,   ///< The next attempt, since the last one left the outcome unknown.
+  kStore,
+};
+
+const char*
+ToString(RequestStage aStage);
+
+/** Callers' requests that have no answer yet. Each gets one answer: the first that arrives, or
+ * kUnknownOutcome once its time is over. */
+class OpenRequests : public QObject
+{
+  Q_OBJECT
+
+public:
+  explicit OpenRequests(QObject* aParent);
+
+  /** Adds a request, and sets its number. @return a callback that passes on the first answer and
+   * ignores any other. */
+  cells::AnswerCallback Add(JobRequest& aRequest, cells::AnswerCallback aDone);
+
+  /** Records what a request waits for. @param aNumber as set by Add(). */
+  void SetStage(std::uint64_t aNumber, RequestStage aStage);
+
+  std::size_t Count() const { return open_.size(); }
+
+  /** Logs each open request: its job, what it waits for, its age and its timeout. */
+  void LogAll() const;
+
+private:
+  struct OpenRequest
+  {
+    cells::AnswerCallback done_;
+    std::string job_;
+    RequestKind kind_ = RequestKind::kGetState;
+    RequestStage stage_ = RequestStage::kArrived;
+    clock::Moment arrivedAt_{};
+    clock::Milliseconds timeout_{ 0 };
+  };
+
+  void Answer(std::uint64_t aNumber, const cells::Answer& aAnswer);
+
+  std::map<std::uint64_t, OpenRequest> open_;
+  std::uint64_t nextNumber_ = 1;
+};
+
+} // namespace quetzal::node
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -19,8 +19,6 @@
 /** How long the load must stay uneven before a cell is handed over. By then, this host knows
  * which hosts have just stopped or returned. */
 constexpr clock::Milliseconds kBalanceDelay{ 1'000 };
-/** Subtracted from a caller's timeout so that the answer arrives in time. */
-constexpr clock::Milliseconds kAnswerMargin{ 100 };
 constexpr clock::Milliseconds kVacantRetryAfter{ 1'000 };
 /** Delay between retries of a request whose outcome is unknown. */
 constexpr clock::Milliseconds kRequestRetryDelay{ 150 };
@@ -34,23 +32,6 @@
   return answer;
 }
 
-/** Returns a callback that forwards only the first answer, and answers "outcome unknown" shortly
- * before the timeout. */
-cells::AnswerCallback
-AnswerWithinTimeout(QObject* aContext, clock::Milliseconds aTimeout, cells::AnswerCallback aDone)
-{
-  const auto shared = std::make_shared<cells::AnswerCallback>(std::move(aDone));
-  const auto once = [shared](const cells::Answer& aAnswer) {
-    if (*shared) {
-      const cells::AnswerCallback done = std::exchange(*shared, nullptr);
-      done(aAnswer);
-    }
-  };
-  const auto time = std::max(aTimeout - kAnswerMargin, clock::Milliseconds(1));
-  QTimer::singleShot(time, aContext, [once] { once({ cells::AnswerStatus::kUnknownOutcome }); });
-  return once;
-}
-
 } // namespace
 
 NodeProcess::NodeProcess(const NodeSettings& aSettings, Ports aPorts, metrics::Registry& aMetrics)
@@ -66,6 +47,7 @@
                   aSettings.processorShare_ },
                 nullptr)
   , links_(nullptr)
+  , requests_(nullptr)
   , startedAt_(Now())
 {
   connect(&periodicTimer_, &QTimer::timeout, this, &NodeProcess::OnPeriodicTimer);
@@ -316,7 +298,14 @@
 void
 NodeProcess::Handle(const JobRequest& aRequest, cells::AnswerCallback aDone)
 {
-  cells::AnswerCallback done = AnswerWithinTimeout(this, aRequest.timeout_, std::move(aDone));
+  JobRequest request = aRequest;
+  const cells::AnswerCallback done = requests_.Add(request, std::move(aDone));
+  Route(request, done);
+}
+
+void
+NodeProcess::Route(const JobRequest& aRequest, const cells::AnswerCallback& aDone)
+{
   const bool isAboutOneJob =
     aRequest.kind_ == RequestKind::kGetState || aRequest.kind_ == RequestKind::kCancel;
   // If a local cell is dropped, the outcome of its requests is unknown; the cell's next owner can
@@ -325,7 +314,7 @@
   const clock::Moment startedAt = Now();
   const cells::AnswerCallback checked = [=, this](const cells::Answer& aAnswer) {
     if (isAboutOneJob && aAnswer.status_ == cells::AnswerStatus::kUnknownJob) {
-      HandleFromStore(aRequest, done, false);
+      HandleFromStore(aRequest, aDone, false);
       return;
     }
     if (aAnswer.status_ == cells::AnswerStatus::kUnknownOutcome &&
@@ -333,12 +322,13 @@
       JobRequest retry = aRequest;
       retry.outcomeUnknown_ = true;
       retry.timeout_ -= std::chrono::duration_cast<clock::Milliseconds>(Now() - startedAt);
-      RetryRequest(retry, done);
+      RetryRequest(retry, aDone);
       return;
     }
-    done(aAnswer);
+    aDone(aAnswer);
   };
   if (const auto cell = cells_.find(aRequest.cell_); cell != cells_.end()) {
+    requests_.SetStage(aRequest.number_, RequestStage::kOwnCell);
     HandleLocally(*cell->second.cell_, aRequest, checked);
     return;
   }
@@ -348,16 +338,16 @@
     return;
   }
   if (aRequest.kind_ == RequestKind::kGetState) {
-    HandleFromStore(aRequest, done, true);
+    HandleFromStore(aRequest, aDone, true);
     return;
   }
   if (aRequest.outcomeUnknown_) {
     JobRequest retry = aRequest;
     retry.timeout_ -= kRequestRetryDelay;
-    RetryRequest(retry, done);
+    RetryRequest(retry, aDone);
     return;
   }
-  done(Refusal());
+  aDone(Refusal());
 }
 
 void
@@ -391,6 +381,7 @@
 {
   const settings::Endpoint peer{ aOwner.address_, static_cast<std::uint16_t>(aOwner.port_) };
   const clock::Moment sentAt = Now();
+  requests_.SetStage(aRequest.number_, RequestStage::kOwner);
   links_.Call(peer,
               PeerMethod::kJob,
               jobs::Encode(ToCall(aRequest)),
@@ -431,8 +422,8 @@
   }
   // The retry has the same job id, so whichever host then owns the cell knows whether the job is
   // stored.
-  QTimer::singleShot(
-    kRequestRetryDelay, this, [this, aRequest, aDone] { Handle(aRequest, aDone); });
+  requests_.SetStage(aRequest.number_, RequestStage::kRetry);
+  QTimer::singleShot(kRequestRetryDelay, this, [this, aRequest, aDone] { Route(aRequest, aDone); });
 }
 
 void
@@ -440,6 +431,7 @@
                              const cells::AnswerCallback& aDone,
                              bool aFinal)
 {
+  requests_.SetStage(aRequest.number_, RequestStage::kStore);
   const QPointer<NodeProcess> self(this);
   ports_.store_->Get(
     cells::JobKey(aRequest.id_), [self, aRequest, aDone, aFinal](const store::ReadResult& aResult) {
@@ -456,7 +448,7 @@
       if (!jobs::IsFinal(state) && !aFinal && record.cell_ != aRequest.cell_) {
         JobRequest moved = aRequest;
         moved.cell_ = record.cell_;
-        self->Handle(moved, aDone);
+        self->Route(moved, aDone);
         return;
       }
       if (aRequest.kind_ == RequestKind::kGetState) {
--- a/src/node/PeerLinks.cpp
+++ b/src/node/PeerLinks.cpp
@@ -223,7 +223,9 @@
                 "event=call-timeout peer=",
                 settings::ToString(endpoint),
                 " calls=",
-                expired.size());
+                expired.size(),
+                " dropped=",
+                peer->calls_.size());
       // The connection may be silent (open but carrying nothing); the next call opens a new one.
       DropConnection(*peer);
     }
