Every caller has an answer before a stopping entry host exits

Callers saw: connections closed with no answer, 4.85 s after the SIGTERM of the entry host that had taken their requests, under planned work only.

Cause: the process ended 1.2 s before the end of its stop time whether or not requests waited, and a request that came late in the stop time was given its caller's whole timeout (up to 3 s), which the process could not keep. Class of fault: work is accepted with a deadline beyond the life of the process that accepted it.

The two tests of JobsAtAPlannedStop failed on that code (no answer) and pass now.

Change: StopSchedule says when the last answer is due and when the process exits. A request that comes during the stop may wait until the last answer is due; one that comes later than 0.4 s before is refused at once, which is true since it was passed on to nobody. What is still open then is answered "outcome unknown" and logged. The process then has 0.4 s to send, and exits earlier only if no answer waits in a buffer. Attempts of a request end with its answer.

--- a/include/quetzal/http/ServerConnection.h
+++ b/include/quetzal/http/ServerConnection.h
@@ -45,6 +45,9 @@
 
   bool IsBusy() const { return phase_ == Phase::kBusy; }
 
+  /** Returns whether part of a response has not been given to the network yet. */
+  bool HasUnsentBytes() const;
+
   /** Closes the connection immediately, with a reset. */
   void Abort();
 
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -6,6 +6,7 @@
 #include "include/quetzal/node/NodeSettings.h"
 #include "include/quetzal/node/OpenRequests.h"
 #include "include/quetzal/node/PeerLinks.h"
+#include "include/quetzal/node/StopSchedule.h"
 
 #include <QtCore/QObject>
 #include <QtCore/QTimer>
@@ -36,7 +37,8 @@
   /** @throws http::ListenError. */
   void Start();
 
-  /** Hands over every cell, then emits HandedOver(). */
+  /** Hands over every cell, then emits HandedOver(). Every request is answered before the process
+   * ends. */
   void Stop();
 
   void Handle(const JobRequest& aRequest, cells::AnswerCallback aDone) override;
@@ -44,6 +46,10 @@
   bool IsReady() const override;
   bool IsStopping() const { return stopping_; }
 
+  /** Returns whether a process that is stopping may exit. @param aIsIdle no caller waits for an
+   * answer or still receives one. */
+  bool MayExit(bool aIsIdle) const;
+
   /** Callers' requests without an answer. */
   const OpenRequests& Requests() const { return requests_; }
 
@@ -73,6 +79,7 @@
   std::vector<std::string> ConfiguredCells() const;
   jobs::OwnerRecord MakeOwnerRecord() const;
 
+  clock::Milliseconds SinceStop() const;
   /** Sends a request to whoever owns its cell now. */
   void Route(const JobRequest& aRequest, const cells::AnswerCallback& aDone);
   void HandleLocally(cells::Cell& aCell, const JobRequest& aRequest, cells::AnswerCallback aDone);
@@ -109,6 +116,8 @@
   std::int64_t fleetKeyRevision_ = 0;
   QTimer periodicTimer_;
   clock::Moment startedAt_;
+  StopSchedule stopSchedule_;
+  clock::Moment stopStartedAt_{};
   bool stopping_ = false;
   bool handedOver_ = false;
 };
--- a/include/quetzal/node/OpenRequests.h
+++ b/include/quetzal/node/OpenRequests.h
@@ -40,10 +40,11 @@
   /** Records what a request waits for. @param aNumber as set by Add(). */
   void SetStage(std::uint64_t aNumber, RequestStage aStage);
 
+  bool IsOpen(std::uint64_t aNumber) const { return open_.contains(aNumber); }
   std::size_t Count() const { return open_.size(); }
 
-  /** Logs each open request: its job, what it waits for, its age and its timeout. */
-  void LogAll() const;
+  /** Answers each open request with kUnknownOutcome, and logs what it waited for. */
+  void AnswerAll();
 
 private:
   struct OpenRequest
@@ -56,6 +57,7 @@
     clock::Milliseconds timeout_{ 0 };
   };
 
+  static void Log(const OpenRequest& aRequest);
   void Answer(std::uint64_t aNumber, const cells::Answer& aAnswer);
 
   std::map<std::uint64_t, OpenRequest> open_;
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -144,6 +144,12 @@
   }
 }
 
+bool
+ServerConnection::HasUnsentBytes() const
+{
+  return socket_->bytesToWrite() > 0;
+}
+
 void
 ServerConnection::Abort()
 {
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -49,6 +49,7 @@
   , links_(nullptr)
   , requests_(nullptr)
   , startedAt_(Now())
+  , stopSchedule_(MakeStopSchedule(aSettings.stopTime_))
 {
   connect(&periodicTimer_, &QTimer::timeout, this, &NodeProcess::OnPeriodicTimer);
   connect(&membership_, &Membership::Changed, this, [this] {
@@ -299,6 +300,14 @@
 NodeProcess::Handle(const JobRequest& aRequest, cells::AnswerCallback aDone)
 {
   JobRequest request = aRequest;
+  if (stopping_) {
+    const auto timeout = TimeoutDuringStop(stopSchedule_, SinceStop(), aRequest.timeout_);
+    if (!timeout) {
+      aDone(Refusal());
+      return;
+    }
+    request.timeout_ = *timeout;
+  }
   const cells::AnswerCallback done = requests_.Add(request, std::move(aDone));
   Route(request, done);
 }
@@ -410,6 +419,9 @@
 void
 NodeProcess::RetryRequest(const JobRequest& aRequest, const cells::AnswerCallback& aDone)
 {
+  if (!requests_.IsOpen(aRequest.number_)) {
+    return; // The caller has its answer, as the request's time is over.
+  }
   // If nothing can have been stored, the request is refused at once and the caller may retry.
   if (!aRequest.outcomeUnknown_) {
     aDone(Refusal());
@@ -548,6 +560,9 @@
     return;
   }
   stopping_ = true;
+  stopStartedAt_ = Now();
+  QTimer::singleShot(
+    stopSchedule_.lastAnswer_, Qt::PreciseTimer, &requests_, &OpenRequests::AnswerAll);
   log::Info("node", "event=stop cells=", cells_.size(), " fleet=", fleet_ != nullptr);
   membership_.AnnounceStop();
   for (const auto& [name, owned] : cells_) {
@@ -556,6 +571,18 @@
   ContinueHandOver();
 }
 
+clock::Milliseconds
+NodeProcess::SinceStop() const
+{
+  return std::chrono::duration_cast<clock::Milliseconds>(Now() - stopStartedAt_);
+}
+
+bool
+NodeProcess::MayExit(bool aIsIdle) const
+{
+  return stopping_ && node::MayExit(stopSchedule_, SinceStop(), aIsIdle);
+}
+
 void
 NodeProcess::BalanceCells()
 {
--- a/src/node/OpenRequests.cpp
+++ b/src/node/OpenRequests.cpp
@@ -56,22 +56,30 @@
 }
 
 void
-OpenRequests::LogAll() const
+OpenRequests::AnswerAll()
 {
-  for (const auto& [number, request] : open_) {
-    log::Warn(
-      "node",
-      "event=request-open job=",
-      request.job_,
-      " kind=",
-      static_cast<int>(request.kind_),
-      " stage=",
-      ToString(request.stage_),
-      " age_ms=",
-      std::chrono::duration_cast<clock::Milliseconds>(clock::Now() - request.arrivedAt_).count(),
-      " timeout_ms=",
-      request.timeout_.count());
+  while (!open_.empty()) {
+    Log(open_.begin()->second);
+    Answer(open_.begin()->first, { cells::AnswerStatus::kUnknownOutcome });
   }
 }
 
+void
+OpenRequests::Log(const OpenRequest& aRequest)
+{
+  const auto age =
+    std::chrono::duration_cast<clock::Milliseconds>(clock::Now() - aRequest.arrivedAt_);
+  log::Warn("node",
+            "event=request-open job=",
+            aRequest.job_,
+            " kind=",
+            static_cast<int>(aRequest.kind_),
+            " stage=",
+            ToString(aRequest.stage_),
+            " age_ms=",
+            age.count(),
+            " timeout_ms=",
+            aRequest.timeout_.count());
+}
+
 } // namespace quetzal::node
--- a/tests/integration/JobsStopTest.cpp
+++ b/tests/integration/JobsStopTest.cpp
@@ -68,7 +68,7 @@
 BOOST_AUTO_TEST_CASE(Requests_ComeTooLateForTheHost_AreRefusedAtOnceAndNeverRun)
 {
   PauseUntil(3'000ms);
-  const auto early = BeginSubmits(1, 2); // They keep the process until the end of its stop time.
+  const auto early = BeginSubmits(21, 22); // They keep the process until the end of its stop time.
   PauseUntil(4'500ms);
   const auto sentAt = std::chrono::steady_clock::now();
   for (const auto& call : BeginSubmits(11, 14)) {
