A stopping entry host takes no cell, and releases those whose claim it had sent

Cause: claims that were in flight at the stop signal were carried to their end. The stopping process then owned the cell, started tasks, and never handed the cell over, since only cells that it owned at the signal were handed over. At its exit the cell stayed in its name until the lease ended or the process was back. Class of fault: a process goes on with what it had begun before its state changed.

Change: the stop abandons claims of cells; what the store had carried out already is released as soon as the watch shows it. The fleet's claim goes on, as its hand-over names the predecessor's orders.

--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -50,6 +50,8 @@
    * answer or still receives one. */
   bool MayExit(bool aIsIdle) const;
 
+  std::size_t ClaimsInFlight() const { return claims_.size(); }
+
   /** Callers' requests without an answer. */
   const OpenRequests& Requests() const { return requests_; }
 
@@ -97,6 +99,8 @@
   void StartHandOver(const std::string& aCell);
   void ReleaseDrainedCells();
   void ContinueHandOver();
+  void AbandonClaim(const std::string& aCell);
+  void ReleaseAbandonedCells();
   void Release(const std::string& aKey,
                std::int64_t aRevision,
                const std::vector<store::Write>& aPuts = {});
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -55,6 +55,9 @@
   connect(&membership_, &Membership::Changed, this, [this] {
     DropLostCells();
     ClaimCells();
+    if (stopping_) {
+      ReleaseAbandonedCells();
+    }
   });
   connect(&membership_, &Membership::LeaseLost, this, &NodeProcess::DropAll);
   connect(
@@ -244,11 +247,9 @@
   while (!cells_.empty()) {
     DropCell(std::string(cells_.begin()->first));
   }
-  for (const auto& [cell, claim] : claims_) {
-    claim->disconnect(this);
-    claim->deleteLater();
+  while (!claims_.empty()) {
+    AbandonClaim(std::string(claims_.begin()->first));
   }
-  claims_.clear();
   StopFleetManager();
 }
 
@@ -565,12 +566,43 @@
     stopSchedule_.lastAnswer_, Qt::PreciseTimer, &requests_, &OpenRequests::AnswerAll);
   log::Info("node", "event=stop cells=", cells_.size(), " fleet=", fleet_ != nullptr);
   membership_.AnnounceStop();
+  for (const std::string& cell : ConfiguredCells()) {
+    // The fleet is claimed to the end: its hand-over names the predecessor's orders.
+    if (cell != kFleetCell) {
+      AbandonClaim(cell);
+    }
+  }
   for (const auto& [name, owned] : cells_) {
     StartHandOver(name);
   }
   ContinueHandOver();
 }
 
+void
+NodeProcess::AbandonClaim(const std::string& aCell)
+{
+  if (const auto claim = claims_.extract(aCell); !claim.empty()) {
+    claim.mapped()->disconnect(this);
+    claim.mapped()->deleteLater();
+  }
+}
+
+/** Releases the cells that this process owns and does not serve, because it abandoned their claims
+ * after the store had carried them out. */
+void
+NodeProcess::ReleaseAbandonedCells()
+{
+  for (const std::string& cell : ConfiguredCells()) {
+    const auto owner = membership_.OwnerOf(cell);
+    const bool isOurs =
+      owner && owner->owner_ == settings_.name_ && owner->incarnation_ == membership_.Incarnation();
+    const bool isInUse = cell == kFleetCell || cells_.contains(cell);
+    if (isOurs && !isInUse && !releasing_.contains(CellKey(cell))) {
+      Release(CellKey(cell), membership_.CellRevision(cell));
+    }
+  }
+}
+
 clock::Milliseconds
 NodeProcess::SinceStop() const
 {
@@ -654,6 +686,7 @@
     StopFleetManager();
   }
   ReleaseDrainedCells();
+  ReleaseAbandonedCells();
   if (cells_.empty() && !handedOver_) {
     handedOver_ = true;
     Q_EMIT HandedOver();
