Soak: callers go on using an entry host that stops, while others are paused

Why the soak had missed it: it sent nothing to an entry host after its stop signal, and did not look at requests that got no answer. Its planned stop now sends a submission each 150 ms until the process has ended, and pauses the other hosts at a random moment; a submission that was sent 300 ms or more before the end must have an answer, and the process must end by itself.

--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -1,6 +1,7 @@
 /** quetzal-soak: runs real entry hosts on the stand-in platform under random faults. Checks that
- * every accepted job completes, that no task runs twice at once or again after its completion, and
- * that no refused job runs. Exits with 1 if a check fails. */
+ * every accepted job completes, that no task runs twice at once or again after its completion, that
+ * no refused job runs, and that an entry host which is told to stop answers what it has read. Exits
+ * with 1 if a check fails. */
 
 #include "include/quetzal/process/Application.h"
 #include "tests/harness/JobsDeployment.h"
@@ -20,6 +21,9 @@
 constexpr int kEntryHosts = 3;
 constexpr int kWorkers = 8;
 constexpr int kTaskMs = 200;
+/** An entry host has read a request that was sent this long before its process ended. */
+constexpr auto kReadTime = 300ms;
+constexpr auto kLateCallInterval = 150ms;
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
 
@@ -53,6 +57,14 @@
   std::size_t Accepted() const { return accepted_.size(); }
 
 private:
+  /** A submission to an entry host that has been told to stop. */
+  struct LateCall
+  {
+    std::string id_;
+    std::chrono::steady_clock::time_point sentAt_;
+    std::unique_ptr<Call> call_;
+  };
+
   int RandomBelow(int aBound)
   {
     return static_cast<int>(random_() % static_cast<unsigned>(aBound));
@@ -69,12 +81,16 @@
   {
     for (int i = 0; i < 3; ++i) {
       const std::string id = JobsDeployment::IdOf(next_++);
-      const unsigned status = jobs_.Submit(RandomBelow(kEntryHosts), id, 1 + RandomBelow(6));
-      if (status == kOk) {
-        accepted_.insert(id);
-      } else if (status == kUnavailable) {
-        refused_.insert(id);
-      }
+      NoteStatus(id, jobs_.Submit(RandomBelow(kEntryHosts), id, 1 + RandomBelow(6)));
+    }
+  }
+
+  void NoteStatus(const std::string& aId, unsigned aStatus)
+  {
+    if (aStatus == kOk) {
+      accepted_.insert(aId);
+    } else if (aStatus == kUnavailable) {
+      refused_.insert(aId);
     }
   }
 
@@ -86,10 +102,10 @@
     const std::string worker = std::to_string(RandomBelow(kWorkers));
     switch (RandomBelow(9)) {
       case 0:
-        Restart(entry, SIGKILL);
+        KillAndRestart(entry);
         break;
       case 1:
-        Restart(entry, SIGTERM);
+        StopAndRestart(entry);
         break;
       case 2:
         jobs_.Entry(entry).Signal(SIGSTOP);
@@ -119,13 +135,53 @@
     }
   }
 
-  void Restart(int aEntry, int aSignal)
+  void KillAndRestart(int aEntry)
   {
-    jobs_.Entry(aEntry).Signal(aSignal);
+    jobs_.Entry(aEntry).Signal(SIGKILL);
     jobs_.Entry(aEntry).Wait();
     jobs_.StartEntry(aEntry);
   }
 
+  /** Stops an entry host as planned while callers go on using it; for a part of the time, the other
+   * entry hosts may be paused. */
+  void StopAndRestart(int aEntry)
+  {
+    const auto pauseAfter = std::chrono::milliseconds(RandomBelow(8'000));
+    jobs_.Entry(aEntry).Signal(SIGTERM);
+    const auto stopSentAt = std::chrono::steady_clock::now();
+    bool paused = false;
+    std::vector<LateCall> calls;
+    while (jobs_.Entry(aEntry).IsRunning()) {
+      const auto now = std::chrono::steady_clock::now();
+      if (!paused && now - stopSentAt > pauseAfter) {
+        SignalOthers(aEntry, SIGSTOP);
+        paused = true;
+      }
+      const std::string id = JobsDeployment::IdOf(next_++);
+      calls.push_back({ id, now, jobs_.BeginSubmit(aEntry, id, 1) });
+      Pause(kLateCallInterval);
+    }
+    const auto endedAt = std::chrono::steady_clock::now() - kLateCallInterval;
+    SignalOthers(aEntry, SIGCONT);
+    for (const LateCall& call : calls) {
+      const auto& answer = call.call_->Wait();
+      NoteStatus(call.id_, answer ? answer->status_ : 0);
+      Require(answer || call.sentAt_ + kReadTime > endedAt,
+              "job " + call.id_ + " has an answer from the entry host that stops");
+    }
+    Require(jobs_.Entry(aEntry).Wait() == 0, "the entry host ends by itself");
+    jobs_.StartEntry(aEntry);
+  }
+
+  void SignalOthers(int aEntry, int aSignal)
+  {
+    for (int other = 0; other < kEntryHosts; ++other) {
+      if (other != aEntry) {
+        jobs_.Entry(other).Signal(aSignal);
+      }
+    }
+  }
+
   void EndFaults()
   {
     jobs_.Control("/store?mood=well");
