An end that is not stored counts as work on its worker

Cause: the owner read the end of the run at 1781891409.031 and dropped the cell at .046 (balanced to another host), before the end was stored. Its report to the fleet's owner counted runs_ only, so the worker was idle although its end was known to nobody else but the worker. The host was moved at .201, the successor (cell begun at .216) found the worker silent at .256 and gone at .466, and started the task again at .717.

Change: Worker::UnfinishedRuns() counts runs and ends that are not stored; the report and the removal of workers that have left use this one rule. Once an end is stored a successor knows it, since its claim precedes its reads and no write of the predecessor succeeds after the claim; no acknowledgement is needed.

Evidence: Report_EndIsNotStored_WorkerHasWork failed with 'workOf() == 2 has failed [0 != 2]' on the code before and passes now.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -69,7 +69,7 @@
 struct WorkerReport
 {
   std::string id_;
-  int runs_ = 0;
+  int runs_ = 0; ///< Including those whose ends are not stored yet.
   bool hasLongRunning_ = false;
   bool cordoned_ = false;
   bool synchronized_ = false;
--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -71,6 +71,10 @@
   const workers::Registration& Registration() const { return registration_; }
   const workers::WorkerState& State() const { return state_; }
 
+  /** Returns the number of runs on the worker, including those whose ends are not stored yet. While
+   * there are any, the worker must not go, since a successor may need those ends from it. */
+  int UnfinishedRuns() const;
+
   /** Makes the worker unschedulable for the given time. */
   void PauseStarts(clock::Milliseconds aTime);
 
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -72,7 +72,7 @@
   for (const auto& [id, entry] : workers_) {
     const workers::WorkerState& state = entry.worker_->State();
     report.workers_.push_back({ id,
-                                static_cast<int>(state.runs_.size()),
+                                entry.worker_->UnfinishedRuns(),
                                 workers::HasLongRunning(state),
                                 entry.worker_->IsCordoned(),
                                 entry.worker_->IsSynchronized() });
@@ -268,7 +268,7 @@
   }
   const bool isUnknown = aEntry.inherited_ && !worker.IsSynchronized();
   // If the worker only lost its registration, it would list ends that are not stored yet again.
-  return !isUnknown && worker.State().runs_.empty() && worker.State().unrecordedEnds_.empty();
+  return !isUnknown && worker.UnfinishedRuns() == 0;
 }
 
 // --- Sharing --------------------------------------------------------------------------------
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -64,6 +64,12 @@
          !registration_.draining_ && std::chrono::steady_clock::now() >= startsPausedUntil_;
 }
 
+int
+Worker::UnfinishedRuns() const
+{
+  return static_cast<int>(state_.runs_.size() + state_.unrecordedEnds_.size());
+}
+
 void
 Worker::PauseStarts(clock::Milliseconds aTime)
 {
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -83,6 +83,25 @@
   BOOST_TEST(cell->Report().workers_.size() == 1U);
 }
 
+/** A host that was moved before took an end with it that a successor needed. */
+BOOST_AUTO_TEST_CASE(Report_EndIsNotStored_WorkerHasWork)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(2));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 2; }));
+  const auto workOf = [&cell] { return cell->Report().workers_.front().runs_; };
+  for (int i = 0; i < 5; ++i) {
+    store_.InjectFault(CommitFault::kRefused);
+  }
+  worker.End(first_, jobs::EndKind::kDone);
+  worker.End({ "job1", 0, 0, 1 }, jobs::EndKind::kDone);
+  RunFor(300ms);
+  BOOST_TEST(workOf() == 2);
+  BOOST_TEST(RunUntil([&] { return workOf() == 0; }));
+  BOOST_TEST(StateOf(*cell, "job1") == "completed");
+}
+
 BOOST_AUTO_TEST_CASE(Takeover_TasksAreRunning_AreAdoptedNotStartedAgain)
 {
   FakeWorker& worker = AddWorker("w1");
