A cell that is handed over stores the ends that it has read, and reads no more

What callers saw: a finished task started again when its worker left during a hand-over.

Cause: Cell::IsIdle() looked at the writer only. Progress waits up to 80 ms, or longer behind a backlog, before it is given to the writer, so a cell was released with ends that it had read and not stored. At the same time polls and removals went on, so that a busy cell had new writes until the hand-over timed out.

Change: StopPlacing() gives waiting progress to the writer at once, stops the polls and the periodic work, and IsIdle() includes waiting progress. Runs and ends that have not been read stay with the worker, count as its work in the report and are read by the successor.

Evidence: HandOver_EndHasBeenReadAndIsNotStored_TaskIsNotStartedAgain failed with '!other.running_.contains(first_)' before, HandOver_TasksKeepEnding_... with 'runs_ == 20 has failed [10 != 20]' and '19 ends left: 9'; both pass now.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -132,10 +132,11 @@
    * unavailable. */
   void EvictTasks(const std::string& aWorker);
 
-  /** Starts no more tasks, since the cell is about to be handed over. */
-  void StopPlacing() { handingOver_ = true; }
+  /** Starts no more tasks, reads no more ends and writes what is known, since the cell is about to
+   * be handed over. */
+  void StopPlacing();
 
-  /** Returns whether no write is pending or in flight. */
+  /** Returns whether all that is known is stored: no write is pending or in flight. */
   bool IsIdle() const;
 
   /** Stops all work without a write or an order, since another owner has the cell. Waiting callers
--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -103,6 +103,10 @@
   /** Polls the worker after a short delay, or, if a poll is in flight, shortly after its answer. */
   void PollSoon();
 
+  /** Sends no more polls and ignores the answer to one in flight: runs and ends that have not been
+   * read are left to a successor. */
+  void StopPolling();
+
   /** Reports all runs of an unresponsive worker as lapsed. Call it only once none of these runs can
    * still be running. */
   void ExpireRuns();
@@ -153,6 +157,7 @@
   QTimer timer_;
   bool polling_ = false;
   bool pollRequested_ = false;
+  bool pollingStopped_ = false;
   bool synchronized_ = false;
   bool registered_ = true;
   bool cordoned_ = false;
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -210,14 +210,14 @@
 {
   progressWaiters_[aJob.id_].push_back(std::move(aDone));
   if (!progressTimer_.isActive()) {
-    progressTimer_.start(kProgressDelay);
+    progressTimer_.start(handingOver_ ? clock::Milliseconds(0) : kProgressDelay);
   }
 }
 
 void
 Cell::FlushProgress()
 {
-  if (writer_.Backlog() > kMaxBacklog) {
+  if (!handingOver_ && writer_.Backlog() > kMaxBacklog) {
     // The store is slow: new jobs and ends of jobs go first, and progress is batched meanwhile.
     progressTimer_.start(kProgressDelay);
     return;
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -205,6 +205,18 @@
   }
 }
 
+void
+Cell::StopPlacing()
+{
+  handingOver_ = true;
+  placementTimer_.stop();
+  periodicTimer_.stop();
+  for (const auto& [id, entry] : workers_) {
+    entry.worker_->StopPolling();
+  }
+  FlushProgress();
+}
+
 void
 Cell::Abandon()
 {
@@ -221,7 +233,7 @@
 bool
 Cell::IsIdle() const
 {
-  return writer_.IsIdle();
+  return progressWaiters_.empty() && writer_.IsIdle();
 }
 
 void
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -243,9 +243,19 @@
   SchedulePoll(kPollDelay);
 }
 
+void
+Worker::StopPolling()
+{
+  pollingStopped_ = true;
+  timer_.stop();
+}
+
 void
 Worker::SchedulePoll(clock::Milliseconds aDelay)
 {
+  if (pollingStopped_) {
+    return;
+  }
   if (!timer_.isActive() || timer_.remainingTimeAsDuration() > aDelay) {
     timer_.start(aDelay);
   }
@@ -311,6 +321,9 @@
     Q_EMIT Fenced();
     return;
   }
+  if (pollingStopped_) {
+    return;
+  }
   if (aStatus.status_ == workers::OrderStatus::kOtherIncarnation) {
     BeginIncarnation(0);
   }
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -102,6 +102,46 @@
   BOOST_TEST(StateOf(*cell, "job1") == "completed");
 }
 
+/** A worker that leaves during a hand-over takes its ends with it. */
+BOOST_AUTO_TEST_CASE(HandOver_EndHasBeenReadAndIsNotStored_TaskIsNotStartedAgain)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(2));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 2; }));
+  worker.End(first_, jobs::EndKind::kDone);
+  BOOST_TEST(RunUntil([&] { return worker.listed_ == 1; }));
+  RunFor(10ms);
+  cell->StopPlacing();
+  BOOST_TEST(RunUntil([&cell] { return cell->IsIdle(); }, 500));
+  cell->Abandon();
+  worker.reachable_ = false;
+  FakeWorker& other = AddWorker("w2");
+  cell = TakeOver("b");
+  RunFor(200ms);
+  cell->MarkTerminated({ "w1" });
+  BOOST_TEST(WaitForRun(other, { "job1", 0, 0, 1 }));
+  BOOST_TEST(!other.running_.contains(first_));
+}
+
+/** Ends that are read all the time kept the cell from its release until a time-out. */
+BOOST_AUTO_TEST_CASE(HandOver_TasksKeepEnding_CellReadsNoMoreEndsAndIsSoonIdle)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(20));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 20; }));
+  RunFor(50ms);
+  cell->StopPlacing();
+  while (worker.running_.size() > 1) {
+    worker.End(worker.running_.begin()->first, jobs::EndKind::kDone);
+    RunFor(10ms);
+  }
+  BOOST_TEST(cell->IsIdle());
+  BOOST_TEST(cell->Report().workers_.front().runs_ == 20);
+  BOOST_TEST(worker.ended_.size() == 19U);
+}
+
 BOOST_AUTO_TEST_CASE(Takeover_TasksAreRunning_AreAdoptedNotStartedAgain)
 {
   FakeWorker& worker = AddWorker("w1");
--- a/tests/unit/FakeWorkers.cpp
+++ b/tests/unit/FakeWorkers.cpp
@@ -179,6 +179,7 @@
       { task, run.run_, {}, 100, measurement == measurements_.end() ? 0 : measurement->second });
   }
   status.ended_ = ended_;
+  listed_ = ended_.empty() ? listed_ : ended_.back().number_;
   return status;
 }
 
@@ -203,6 +204,7 @@
   ended_.clear();
   nextEnd_ = 1;
   acknowledged_ = 0;
+  listed_ = 0;
   highestEndedRuns_.clear();
 }
 
