A terminated worker gets no tasks until it is in the roster again

Cause: MarkTerminated() took a worker out of the stored roster and left it marked as in the roster. A worker marked before its first poll was answered or failed counted as responsive, so it was sent tasks at once; one that answered later was sent tasks too. A successor does not poll a worker that is not in the roster and would start such tasks a second time.

Change: the mark takes the worker out of the roster in memory too, a worker whose runs were expired is unresponsive until it answers, and one that answers joins the roster again before it gets tasks.

Evidence: Worker_TerminatedBeforeItsFirstAnswer_GetsNoTasks failed with 'runs_ == 0 has failed [1 != 0]', Worker_AnswersAfterItWasTerminated_... with 'rosterSize() == 1U has failed [0 != 1]'; both pass now.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -164,6 +164,8 @@
   void SyncWorkers();
   void AddWorker(const workers::Registration& aRegistration);
   void RemoveWorker(const std::string& aId);
+  /** Ends the mark as terminated of a worker that has answered; it joins the roster again. */
+  void ReinstateIfResponsive(WorkerEntry& aEntry);
   void ExtendRoster();
   std::vector<jobs::RosterEntry> Roster() const;
   void ExpireUnresponsiveWorkers();
--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -54,9 +54,9 @@
   void SetCordoned(bool aCordoned) { cordoned_ = aCordoned; }
   bool IsCordoned() const { return cordoned_; }
 
-  /** Marks the worker as stored in the roster. Only then may it be sent orders, since a successor
-   * polls the workers of the roster. */
-  void MarkInRoster() { inRoster_ = true; }
+  /** Sets whether the worker is stored in the roster. Only then may it be sent orders, since a
+   * successor polls the workers of the roster. */
+  void SetInRoster(bool aInRoster) { inRoster_ = aInRoster; }
   bool IsInRoster() const { return inRoster_; }
 
   /** Returns whether the worker has answered a poll under this owner's fence. */
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -192,6 +192,7 @@
   worker->SetCordoned(cordoned_.contains(id));
   connect(worker, &Worker::PollFinished, this, [this, id] {
     if (const auto entry = workers_.find(id); entry != workers_.end()) {
+      ReinstateIfResponsive(entry->second);
       LimitBestEffort(entry->second);
     }
     ExtendRoster();
@@ -243,6 +244,15 @@
   return roster;
 }
 
+void
+Cell::ReinstateIfResponsive(WorkerEntry& aEntry)
+{
+  if (aEntry.terminated_ && aEntry.worker_->IsResponsive()) {
+    aEntry.terminated_ = false;
+    rosterIsComplete_ = false;
+  }
+}
+
 void
 Cell::ExtendRoster()
 {
@@ -252,7 +262,7 @@
   rosterIsComplete_ = true;
   std::vector<std::string> added;
   for (auto& [id, entry] : workers_) {
-    if (!entry.worker_->IsInRoster() && !entry.rosterRequested_) {
+    if (!entry.terminated_ && !entry.worker_->IsInRoster() && !entry.rosterRequested_) {
       entry.rosterRequested_ = true;
       added.push_back(id);
     }
@@ -262,8 +272,9 @@
   }
   writer_.SetRoster(Roster(), clock::Milliseconds(0), [this, added] {
     for (const std::string& id : added) {
-      if (const auto entry = workers_.find(id); entry != workers_.end()) {
-        entry->second.worker_->MarkInRoster();
+      const auto entry = workers_.find(id);
+      if (entry != workers_.end() && !entry->second.terminated_) {
+        entry->second.worker_->SetInRoster(true);
       }
     }
     SchedulePlacement();
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -163,6 +163,8 @@
               " runs=",
               entry->second.worker_->State().runs_.size());
     entry->second.terminated_ = true;
+    entry->second.rosterRequested_ = false;
+    entry->second.worker_->SetInRoster(false);
     entry->second.worker_->ExpireRuns();
     any = true;
   }
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -408,6 +408,7 @@
 Worker::ExpireRuns()
 {
   synchronized_ = true;
+  unresponsive_ = true;
   EndAllRuns(jobs::EndKind::kLapsed);
 }
 
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -252,6 +252,43 @@
   BOOST_TEST(WaitForRun(other, first_));
 }
 
+/** Such a worker is not in the roster, so a successor would not wait for what it runs. */
+BOOST_AUTO_TEST_CASE(Worker_TerminatedBeforeItsFirstAnswer_GetsNoTasks)
+{
+  FakeWorker& gone = AddWorker("w1");
+  auto cell = TakeOver("a");
+  RunFor(100ms);
+  cell->Abandon();
+  gone.reachable_ = false;
+  cell = TakeOver("b");
+  cell->MarkTerminated({ "w1" });
+  Submit(*cell, "job1", Spec(1));
+  RunFor(40ms);
+  BOOST_TEST(cell->Report().workers_.front().runs_ == 0);
+}
+
+/** A successor that did not wait for this worker started the task a second time. */
+BOOST_AUTO_TEST_CASE(Worker_AnswersAfterItWasTerminated_IsInTheRosterBeforeItGetsTasks)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  RunFor(100ms);
+  worker.reachable_ = false;
+  const auto rosterSize = [this] {
+    jobs::OwnerRecord record;
+    BOOST_REQUIRE(jobs::Decode(store_.Items().at(WriteChainKeys("svc").front()).value_, record));
+    return record.roster_.size();
+  };
+  BOOST_TEST(RunUntil([&] {
+    cell->MarkTerminated({ "w1" });
+    return rosterSize() == 0;
+  }));
+  worker.reachable_ = true;
+  Submit(*cell, "job1", Spec(1));
+  BOOST_TEST(WaitForRun(worker, first_));
+  BOOST_TEST(rosterSize() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(Start_Unanswered_IsStoppedBeforeTheTaskStartsAgain)
 {
   FakeWorker& worker = AddWorker("w1");
