--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -69,7 +69,7 @@
 struct WorkerReport
 {
   std::string id_;
-  int runs_ = 0;
+  int runs_ = 0; ///< Including those whose ends are not stored yet.
   bool hasLongRunning_ = false;
   bool cordoned_ = false;
   bool synchronized_ = false;
@@ -132,10 +132,11 @@
    * unavailable. */
   void EvictTasks(const std::string& aWorker);
 
-  /** Starts no more tasks, since the cell is about to be handed over. */
-  void StopPlacing() { handingOver_ = true; }
+  /** Starts no more tasks, reads no more ends and writes what is known, since the cell is about to
+   * be handed over. */
+  void StopPlacing();
 
-  /** Returns whether no write is pending or in flight. */
+  /** Returns whether all that is known is stored: no write is pending or in flight. */
   bool IsIdle() const;
 
   /** Stops all work without a write or an order, since another owner has the cell. Waiting callers
@@ -163,6 +164,8 @@
   void SyncWorkers();
   void AddWorker(const workers::Registration& aRegistration);
   void RemoveWorker(const std::string& aId);
+  /** Ends the mark as terminated of a worker that has answered; it joins the roster again. */
+  void ReinstateIfResponsive(WorkerEntry& aEntry);
   void ExtendRoster();
   std::vector<jobs::RosterEntry> Roster() const;
   void ExpireUnresponsiveWorkers();
--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -54,9 +54,9 @@
   void SetCordoned(bool aCordoned) { cordoned_ = aCordoned; }
   bool IsCordoned() const { return cordoned_; }
 
-  /** Marks the worker as stored in the roster. Only then may it be sent orders, since a successor
-   * polls the workers of the roster. */
-  void MarkInRoster() { inRoster_ = true; }
+  /** Sets whether the worker is stored in the roster. Only then may it be sent orders, since a
+   * successor polls the workers of the roster. */
+  void SetInRoster(bool aInRoster) { inRoster_ = aInRoster; }
   bool IsInRoster() const { return inRoster_; }
 
   /** Returns whether the worker has answered a poll under this owner's fence. */
@@ -71,6 +71,10 @@
   const workers::Registration& Registration() const { return registration_; }
   const workers::WorkerState& State() const { return state_; }
 
+  /** Returns the number of runs on the worker, including those whose ends are not stored yet. While
+   * there are any, the worker must not go, since a successor may need those ends from it. */
+  int UnfinishedRuns() const;
+
   /** Makes the worker unschedulable for the given time. */
   void PauseStarts(clock::Milliseconds aTime);
 
@@ -99,6 +103,10 @@
   /** Polls the worker after a short delay, or, if a poll is in flight, shortly after its answer. */
   void PollSoon();
 
+  /** Sends no more polls and ignores the answer to one in flight: runs and ends that have not been
+   * read are left to a successor. */
+  void StopPolling();
+
   /** Reports all runs of an unresponsive worker as lapsed. Call it only once none of these runs can
    * still be running. */
   void ExpireRuns();
@@ -149,6 +157,7 @@
   QTimer timer_;
   bool polling_ = false;
   bool pollRequested_ = false;
+  bool pollingStopped_ = false;
   bool synchronized_ = false;
   bool registered_ = true;
   bool cordoned_ = false;
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -72,7 +72,7 @@
   for (const auto& [id, entry] : workers_) {
     const workers::WorkerState& state = entry.worker_->State();
     report.workers_.push_back({ id,
-                                static_cast<int>(state.runs_.size()),
+                                entry.worker_->UnfinishedRuns(),
                                 workers::HasLongRunning(state),
                                 entry.worker_->IsCordoned(),
                                 entry.worker_->IsSynchronized() });
@@ -163,6 +163,8 @@
               " runs=",
               entry->second.worker_->State().runs_.size());
     entry->second.terminated_ = true;
+    entry->second.rosterRequested_ = false;
+    entry->second.worker_->SetInRoster(false);
     entry->second.worker_->ExpireRuns();
     any = true;
   }
@@ -205,6 +207,18 @@
   }
 }
 
+void
+Cell::StopPlacing()
+{
+  handingOver_ = true;
+  placementTimer_.stop();
+  periodicTimer_.stop();
+  for (const auto& [id, entry] : workers_) {
+    entry.worker_->StopPolling();
+  }
+  FlushProgress();
+}
+
 void
 Cell::Abandon()
 {
@@ -221,7 +235,7 @@
 bool
 Cell::IsIdle() const
 {
-  return writer_.IsIdle();
+  return progressWaiters_.empty() && writer_.IsIdle();
 }
 
 void
@@ -268,7 +282,7 @@
   }
   const bool isUnknown = aEntry.inherited_ && !worker.IsSynchronized();
   // If the worker only lost its registration, it would list ends that are not stored yet again.
-  return !isUnknown && worker.State().runs_.empty() && worker.State().unrecordedEnds_.empty();
+  return !isUnknown && worker.UnfinishedRuns() == 0;
 }
 
 // --- Sharing --------------------------------------------------------------------------------
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -64,6 +64,12 @@
          !registration_.draining_ && std::chrono::steady_clock::now() >= startsPausedUntil_;
 }
 
+int
+Worker::UnfinishedRuns() const
+{
+  return static_cast<int>(state_.runs_.size() + state_.unrecordedEnds_.size());
+}
+
 void
 Worker::PauseStarts(clock::Milliseconds aTime)
 {
@@ -237,9 +243,19 @@
   SchedulePoll(kPollDelay);
 }
 
+void
+Worker::StopPolling()
+{
+  pollingStopped_ = true;
+  timer_.stop();
+}
+
 void
 Worker::SchedulePoll(clock::Milliseconds aDelay)
 {
+  if (pollingStopped_) {
+    return;
+  }
   if (!timer_.isActive() || timer_.remainingTimeAsDuration() > aDelay) {
     timer_.start(aDelay);
   }
@@ -305,6 +321,9 @@
     Q_EMIT Fenced();
     return;
   }
+  if (pollingStopped_) {
+    return;
+  }
   if (aStatus.status_ == workers::OrderStatus::kOtherIncarnation) {
     BeginIncarnation(0);
   }
@@ -389,6 +408,7 @@
 Worker::ExpireRuns()
 {
   synchronized_ = true;
+  unresponsive_ = true;
   EndAllRuns(jobs::EndKind::kLapsed);
 }
 
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -83,6 +83,65 @@
   BOOST_TEST(cell->Report().workers_.size() == 1U);
 }
 
+/** A host that was moved before took an end with it that a successor needed. */
+BOOST_AUTO_TEST_CASE(Report_EndIsNotStored_WorkerHasWork)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(2));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 2; }));
+  const auto workOf = [&cell] { return cell->Report().workers_.front().runs_; };
+  for (int i = 0; i < 5; ++i) {
+    store_.InjectFault(CommitFault::kRefused);
+  }
+  worker.End(first_, jobs::EndKind::kDone);
+  worker.End({ "job1", 0, 0, 1 }, jobs::EndKind::kDone);
+  RunFor(300ms);
+  BOOST_TEST(workOf() == 2);
+  BOOST_TEST(RunUntil([&] { return workOf() == 0; }));
+  BOOST_TEST(StateOf(*cell, "job1") == "completed");
+}
+
+/** A worker that leaves during a hand-over takes its ends with it. */
+BOOST_AUTO_TEST_CASE(HandOver_EndHasBeenReadAndIsNotStored_TaskIsNotStartedAgain)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(2));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 2; }));
+  worker.End(first_, jobs::EndKind::kDone);
+  BOOST_TEST(RunUntil([&] { return worker.listed_ == 1; }));
+  RunFor(10ms);
+  cell->StopPlacing();
+  BOOST_TEST(RunUntil([&cell] { return cell->IsIdle(); }, 500));
+  cell->Abandon();
+  worker.reachable_ = false;
+  FakeWorker& other = AddWorker("w2");
+  cell = TakeOver("b");
+  RunFor(200ms);
+  cell->MarkTerminated({ "w1" });
+  BOOST_TEST(WaitForRun(other, { "job1", 0, 0, 1 }));
+  BOOST_TEST(!other.running_.contains(first_));
+}
+
+/** Ends that are read all the time kept the cell from its release until a time-out. */
+BOOST_AUTO_TEST_CASE(HandOver_TasksKeepEnding_CellReadsNoMoreEndsAndIsSoonIdle)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(20));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 20; }));
+  RunFor(50ms);
+  cell->StopPlacing();
+  while (worker.running_.size() > 1) {
+    worker.End(worker.running_.begin()->first, jobs::EndKind::kDone);
+    RunFor(10ms);
+  }
+  BOOST_TEST(cell->IsIdle());
+  BOOST_TEST(cell->Report().workers_.front().runs_ == 20);
+  BOOST_TEST(worker.ended_.size() == 19U);
+}
+
 BOOST_AUTO_TEST_CASE(Takeover_TasksAreRunning_AreAdoptedNotStartedAgain)
 {
   FakeWorker& worker = AddWorker("w1");
@@ -193,6 +252,43 @@
   BOOST_TEST(WaitForRun(other, first_));
 }
 
+/** Such a worker is not in the roster, so a successor would not wait for what it runs. */
+BOOST_AUTO_TEST_CASE(Worker_TerminatedBeforeItsFirstAnswer_GetsNoTasks)
+{
+  FakeWorker& gone = AddWorker("w1");
+  auto cell = TakeOver("a");
+  RunFor(100ms);
+  cell->Abandon();
+  gone.reachable_ = false;
+  cell = TakeOver("b");
+  cell->MarkTerminated({ "w1" });
+  Submit(*cell, "job1", Spec(1));
+  RunFor(40ms);
+  BOOST_TEST(cell->Report().workers_.front().runs_ == 0);
+}
+
+/** A successor that did not wait for this worker started the task a second time. */
+BOOST_AUTO_TEST_CASE(Worker_AnswersAfterItWasTerminated_IsInTheRosterBeforeItGetsTasks)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  RunFor(100ms);
+  worker.reachable_ = false;
+  const auto rosterSize = [this] {
+    jobs::OwnerRecord record;
+    BOOST_REQUIRE(jobs::Decode(store_.Items().at(WriteChainKeys("svc").front()).value_, record));
+    return record.roster_.size();
+  };
+  BOOST_TEST(RunUntil([&] {
+    cell->MarkTerminated({ "w1" });
+    return rosterSize() == 0;
+  }));
+  worker.reachable_ = true;
+  Submit(*cell, "job1", Spec(1));
+  BOOST_TEST(WaitForRun(worker, first_));
+  BOOST_TEST(rosterSize() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(Start_Unanswered_IsStoppedBeforeTheTaskStartsAgain)
 {
   FakeWorker& worker = AddWorker("w1");
