Maintenance waves share a budget of hosts in each pool

Cause: each wave was planned alone, up to its own limit of 8 to 16 of 49 hosts. Waves that overlap cordoned all hosts of a small pool. Nothing could be placed there, tasks on the cordoned hosts could not be evicted for want of room, and so the hosts were not maintained either.

Evidence: event=plan of the owner, before: pool medellin-desk has up=3 or 2 and stuck=12 from 26 to 42 s; its last task starts again at 45.3 s.

--- a/include/quetzal/fleet/Planner.h
+++ b/include/quetzal/fleet/Planner.h
@@ -67,6 +67,7 @@
   std::vector<WaveProgress> waves_;
   std::set<std::string> busyHosts_; ///< Hosts with an order in flight.
   std::string standbyPool_;
+  clock::Milliseconds maintenanceTime_{ 0 }; ///< The time that a host's maintenance takes.
 };
 
 /** The limits for allocating hosts from the standby pool and for returning them to it. */
@@ -115,6 +116,15 @@
   double memoryMb_ = 1;
 };
 
+HostSize
+SizeOfHosts(const FleetView& aView);
+
+/** Returns how many hosts a pool's long running tasks fill, by cores or by memory. */
+double
+HostsForLongRunning(const PoolDemand& aDemand,
+                    const HostSize& aHost,
+                    const PlannerOptions& aOptions);
+
 /** Distributes hosts among pools in order of priority: long running tasks, then urgent work, then
  * forecast work and the minimum hosts. Where the hosts do not suffice for one priority, every pool
  * gets the same fraction of its need, so that queues that grow at the same time are served alike.
@@ -127,7 +137,8 @@
 
 /** Plans moves and maintenance: hosts are allocated to pools that need them, returned once idle,
  * and maintained starting with those on which nothing runs. No order is given for a host on which
- * something runs, and no more hosts are maintained than a wave allows at once. */
+ * something runs, and no more hosts are maintained than a wave allows at once, and than the pool's
+ * budget allows all waves. The wave that is due first comes first. */
 FleetPlan
 MakePlan(const FleetView& aView, const PlannerOptions& aOptions, clock::Moment aNow);
 
--- a/src/fleet/Planner.cpp
+++ b/src/fleet/Planner.cpp
@@ -1,5 +1,7 @@
 #include "include/quetzal/fleet/Planner.h"
 
+#include "include/quetzal/fleet/MaintenanceBudget.h"
+
 #include <algorithm>
 #include <cmath>
 #include <string_view>
@@ -47,18 +49,6 @@
   return load != nullptr && aView.pools_.at(aHost.pool_).fresh_ && load->released_;
 }
 
-HostSize
-SizeOfHosts(const FleetView& aView)
-{
-  HostSize size{ 0, 0 };
-  for (const Host& host : aView.hosts_) {
-    size.cores_ += static_cast<double>(host.milliCores_) / 1'000;
-    size.memoryMb_ += static_cast<double>(host.memoryMb_);
-  }
-  const double hosts = std::max(static_cast<double>(aView.hosts_.size()), 1.0);
-  return { std::max(size.cores_ / hosts, 1.0), std::max(size.memoryMb_ / hosts, 1.0) };
-}
-
 bool
 IsInPool(const Host& aHost, const std::string& aPool)
 {
@@ -216,18 +206,19 @@
   return load->hasLongRunning_ ? 2 : 1;
 }
 
-void
-PlanMaintenance(const FleetView& aView, const WaveProgress& aWave, FleetPlan& aPlan)
+/** A host that a wave has yet to maintain, with its rank. */
+using RankedHost = std::pair<int, const Host*>;
+
+/** Returns the hosts that a wave may maintain now, in the order in which to take them.
+ * @param aDown is increased by the wave's hosts that are down. */
+std::vector<RankedHost>
+PendingHosts(const FleetView& aView, const WaveProgress& aWave, int& aDown)
 {
-  if (aWave.completed_) {
-    return;
-  }
   const HostIndex hosts = IndexByName(aView.hosts_);
-  int down = 0;
-  std::vector<std::pair<int, const Host*>> pending;
+  std::vector<RankedHost> pending;
   for (const auto& [name, state] : aWave.hosts_) {
     if (state.phase_ == MaintenancePhase::kOrdered) {
-      ++down;
+      ++aDown;
       continue;
     }
     const Host* host = FindHost(hosts, name);
@@ -235,7 +226,7 @@
       continue;
     }
     if (host->state_ == HostState::kMaintenance) {
-      ++down; // A previous owner ordered the maintenance.
+      ++aDown; // A previous owner ordered the maintenance.
     } else if (host->state_ == HostState::kUp) {
       pending.emplace_back(RankForMaintenance(aView, *host), host);
     }
@@ -244,11 +235,29 @@
     return std::pair(aLeft.first, aLeft.second->name_) <
            std::pair(aRight.first, aRight.second->name_);
   });
+  return pending;
+}
+
+void
+PlanMaintenance(const FleetView& aView,
+                const WaveProgress& aWave,
+                MaintenanceBudgets& aBudgets,
+                FleetPlan& aPlan)
+{
+  if (aWave.completed_) {
+    return;
+  }
+  int down = 0;
+  const std::vector<RankedHost> pending = PendingHosts(aView, aWave, down);
   int remaining = aWave.request_.maxConcurrent_ - down;
   for (const auto& [rank, host] : pending) {
-    if (remaining-- <= 0) {
+    if (remaining <= 0) {
       return;
     }
+    if (!WithholdHost(aBudgets, aPlan, *host)) {
+      continue;
+    }
+    --remaining;
     if (IsFree(aView, *host)) {
       aPlan.maintenance_.push_back({ host->name_, aWave.request_.number_ });
       std::erase_if(aPlan.moves_,
@@ -263,8 +272,51 @@
   }
 }
 
+/** Plans the maintenance of all waves. The wave that is due first takes its hosts first. */
+void
+PlanWaves(const FleetView& aView,
+          const PlannerOptions& aOptions,
+          clock::Moment aNow,
+          FleetPlan& aPlan)
+{
+  std::vector<const WaveProgress*> waves;
+  for (const WaveProgress& wave : aView.waves_) {
+    waves.push_back(&wave);
+  }
+  std::stable_sort(
+    waves.begin(), waves.end(), [](const WaveProgress* aLeft, const WaveProgress* aRight) {
+      return DueAt(*aLeft) < DueAt(*aRight);
+    });
+  MaintenanceBudgets budgets = MakeMaintenanceBudgets(aView, aPlan, aOptions, aNow);
+  for (const WaveProgress* wave : waves) {
+    PlanMaintenance(aView, *wave, budgets, aPlan);
+  }
+}
+
 } // namespace
 
+HostSize
+SizeOfHosts(const FleetView& aView)
+{
+  HostSize size{ 0, 0 };
+  for (const Host& host : aView.hosts_) {
+    size.cores_ += static_cast<double>(host.milliCores_) / 1'000;
+    size.memoryMb_ += static_cast<double>(host.memoryMb_);
+  }
+  const double hosts = std::max(static_cast<double>(aView.hosts_.size()), 1.0);
+  return { std::max(size.cores_ / hosts, 1.0), std::max(size.memoryMb_ / hosts, 1.0) };
+}
+
+double
+HostsForLongRunning(const PoolDemand& aDemand,
+                    const HostSize& aHost,
+                    const PlannerOptions& aOptions)
+{
+  return std::max(aDemand.longRunningCores_ / aHost.cores_,
+                  aDemand.longRunningMemoryMb_ /
+                    (aHost.memoryMb_ * aOptions.usableMemoryFraction_));
+}
+
 std::map<std::string, double>
 DistributeHosts(const std::map<std::string, PoolDemand>& aPools,
                 double aHosts,
@@ -287,9 +339,7 @@
     remaining = std::max(remaining, 0.0);
   };
   const auto longRunningHosts = [&](const PoolDemand& aDemand) {
-    return std::max(aDemand.longRunningCores_ / aHost.cores_,
-                    aDemand.longRunningMemoryMb_ /
-                      (aHost.memoryMb_ * aOptions.usableMemoryFraction_));
+    return HostsForLongRunning(aDemand, aHost, aOptions);
   };
   const auto urgentHosts = [&](const PoolDemand& aDemand) {
     return longRunningHosts(aDemand) +
@@ -307,7 +357,7 @@
 }
 
 FleetPlan
-MakePlan(const FleetView& aView, const PlannerOptions& aOptions, clock::Moment /*aNow*/)
+MakePlan(const FleetView& aView, const PlannerOptions& aOptions, clock::Moment aNow)
 {
   FleetPlan plan;
   if (!aView.standbyPool_.empty()) {
@@ -328,9 +378,7 @@
     }
     PlanMoves(aView, aOptions, plan);
   }
-  for (const WaveProgress& wave : aView.waves_) {
-    PlanMaintenance(aView, wave, plan);
-  }
+  PlanWaves(aView, aOptions, aNow, plan);
   return plan;
 }
 
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -297,6 +297,7 @@
   fleet::FleetView view;
   view.hosts_ = hosts_;
   view.standbyPool_ = jobs::StandbyPoolOf(platformState_.Configuration());
+  view.maintenanceTime_ = options_.maintenanceTime_;
   view.busyHosts_ = pendingOrders_;
   for (const auto& [name, at] : busySince_) {
     if (aNow - at < kUnconfirmedOrderWindow) {
--- a/tests/unit/PlannerTest.cpp
+++ b/tests/unit/PlannerTest.cpp
@@ -45,13 +45,39 @@
   void AddWave(const std::vector<std::string>& aHosts, int aMaxConcurrent)
   {
     WaveProgress wave;
-    wave.request_ = { 1, aHosts, 20, aMaxConcurrent };
+    const auto number = static_cast<std::int64_t>(view_.waves_.size()) + 1;
+    wave.request_ = { number, aHosts, 20, aMaxConcurrent };
+    wave.receivedAt_ = now_;
     for (const std::string& host : aHosts) {
       wave.hosts_[host] = {};
     }
     view_.waves_.push_back(wave);
   }
 
+  /** Adds hosts "1" to "6" to pool "a", each with a long running task. */
+  void AddSixHostsWithLongRunningTasks()
+  {
+    for (const char* name : { "1", "2", "3", "4", "5", "6" }) {
+      AddHost(name, "a", 1);
+      Load(name, "a").hasLongRunning_ = true;
+    }
+    view_.pools_["a"].longRunningCores_ = 20;
+    view_.maintenanceTime_ = 2s;
+  }
+
+  /** Lets tasks leave the cordoned hosts, maintains ordered hosts and brings them back. */
+  void CarryOut(const FleetPlan& aPlan)
+  {
+    for (const MaintenanceOrder& order : aPlan.maintenance_) {
+      WaveProgress& wave = view_.waves_[static_cast<std::size_t>(order.wave_ - 1)];
+      wave.hosts_[order.host_].phase_ = MaintenancePhase::kDone;
+      Load(order.host_, "a") = { 1, true, false, false };
+    }
+    for (const std::string& worker : aPlan.cordoned_) {
+      view_.pools_["a"].workers_[worker] = { 0, false, true, true };
+    }
+  }
+
   FleetPlan Plan() const { return MakePlan(view_, options_, now_); }
 
   bool Moves(const std::string& aHost, const std::string& aPool) const
@@ -237,6 +263,92 @@
   BOOST_TEST(view_.waves_[0].completed_);
 }
 
+// Overlapping waves cordoned all hosts of a small pool, and its long running tasks stood still.
+BOOST_AUTO_TEST_CASE(Waves_OverlapInAPoolWithWaitingTasks_LeaveHostsForTheTasks)
+{
+  AddSixHostsWithLongRunningTasks();
+  view_.pools_["a"].unschedulableTasks_ = 11;
+  AddWave({ "1", "2", "3", "4" }, 3);
+  AddWave({ "3", "4", "5", "6" }, 3);
+  BOOST_TEST(Plan().cordoned_.size() >= 1U);
+  BOOST_TEST(Plan().cordoned_.size() <= 3U);
+}
+
+BOOST_AUTO_TEST_CASE(Wave_AloneWithinHalfOfThePool_IsBoundOnlyByItsOwnLimit)
+{
+  AddSixHostsWithLongRunningTasks();
+  AddWave({ "1", "2", "3", "4" }, 3);
+  BOOST_TEST(Plan().cordoned_.size() == 3U);
+  BOOST_TEST(Plan().evict_.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(Waves_PoolWithoutLongRunningTasks_AreBoundOnlyByTheirOwnLimits)
+{
+  for (const char* name : { "1", "2", "3", "4" }) {
+    AddHost(name, "a", 1);
+  }
+  view_.pools_["a"].urgentCores_ = 40;
+  AddWave({ "1", "2" }, 2);
+  AddWave({ "3", "4" }, 2);
+  BOOST_TEST(Plan().cordoned_.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(Waves_TasksCanNeverBePlaced_AreStillCarriedOut)
+{
+  AddSixHostsWithLongRunningTasks();
+  view_.pools_["a"].longRunningCores_ = 10'000;
+  view_.pools_["a"].unschedulableTasks_ = 100;
+  AddWave({ "1", "2", "3", "4" }, 3);
+  AddWave({ "3", "4", "5", "6" }, 3);
+  for (int i = 0; i < 20; ++i) {
+    CarryOut(Plan());
+  }
+  for (const WaveProgress& wave : view_.waves_) {
+    for (const auto& [name, state] : wave.hosts_) {
+      BOOST_CHECK(state.phase_ == MaintenancePhase::kDone);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Wave_DueSoon_MayWithholdMoreButNeverMoreThanHalfOfThePool)
+{
+  AddSixHostsWithLongRunningTasks();
+  view_.pools_["a"].unschedulableTasks_ = 11;
+  AddWave({ "1", "2", "3", "4" }, 4);
+  BOOST_TEST(Plan().cordoned_.size() == 1U);
+  now_ += 11s;
+  BOOST_TEST(Plan().cordoned_.size() == 3U);
+  now_ += 60s;
+  BOOST_TEST(Plan().cordoned_.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(Waves_HostsDownForOne_CountForTheOther)
+{
+  AddSixHostsWithLongRunningTasks();
+  AddWave({ "1", "2", "3" }, 3);
+  AddWave({ "4", "5", "6" }, 3);
+  for (const int i : { 0, 1, 2 }) {
+    view_.hosts_[static_cast<std::size_t>(i)].state_ = HostState::kMaintenance;
+    view_.waves_[0].hosts_[std::to_string(i + 1)].phase_ = MaintenancePhase::kOrdered;
+  }
+  BOOST_TEST(Plan().cordoned_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Waves_HostCordonedForAMove_LeavesFewerHostsForThem)
+{
+  AddSixHostsWithLongRunningTasks();
+  for (const char* name : { "5", "6" }) {
+    Load(name, "a") = {};
+  }
+  AddHost("7", "b", 9);
+  view_.pools_["b"].urgentCores_ = 1'000;
+  AddWave({ "1", "2", "3", "4" }, 4);
+  const FleetPlan plan = Plan();
+  BOOST_TEST(plan.cordoned_.contains("w-5"));
+  BOOST_TEST(plan.cordoned_.contains("w-6"));
+  BOOST_TEST(plan.cordoned_.size() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(Forecast_RisingArrivals_ExceedsTheCurrentRate)
 {
   const std::deque<Arrival> rising{ { now_ - 900ms, 10 }, { now_ - 100ms, 30 } };
