Hosts go to pools whose long-running tasks wait first

Cause: hosts that become free went to the pool with the largest shortage. A small pool whose tasks waited lacked four hosts and a pool with a growing queue lacked up to thirty, so the small pool got none.

Failing before: Pool_HasWaitingTasksWhileAnotherLacksMoreHosts_ReceivesHostsFirst: check toA == 1 has failed [0 != 1] Passing before and after: Pool_HasTasksThatCanNeverBePlaced_DoesNotReceiveAllHostsFirst.

Change: AssignHosts compares the missing hosts for waiting tasks first.

--- a/src/fleet/Planner.cpp
+++ b/src/fleet/Planner.cpp
@@ -97,9 +97,34 @@
     }));
 }
 
-/** Assigns hosts to the pools with the largest shortages, until the hosts are used up. */
+/** The hosts that a pool lacks. */
+struct Shortage
+{
+  int forWaiting_ = 0; ///< Of these, hosts for long running tasks that no worker has room for.
+  int hosts_ = 0;
+
+  auto operator<=>(const Shortage&) const = default;
+};
+
+/** Returns how many of a pool's missing hosts are for waiting long running tasks. A pool that has
+ * enough hosts for all its long running tasks gets none: tasks that can never be placed would
+ * attract all hosts. */
+int
+HostsForWaitingTasks(const FleetView& aView,
+                     const std::string& aPool,
+                     const PlannerOptions& aOptions)
+{
+  const PoolDemand& demand = aView.pools_.at(aPool);
+  const int waiting = std::min(demand.unschedulableTasks_, aOptions.maxHostsForUnschedulable_);
+  const double filled = std::ceil(HostsForLongRunning(demand, SizeOfHosts(aView), aOptions));
+  const double lacking = filled + aOptions.minHosts_ + waiting - CountHosts(aView, aPool);
+  return static_cast<int>(std::clamp(lacking, 0.0, static_cast<double>(waiting)));
+}
+
+/** Assigns hosts to the pools with the largest shortages, those for waiting tasks first, until the
+ * hosts are used up. */
 void
-AssignHosts(std::map<std::string, int>& aShortages,
+AssignHosts(std::map<std::string, Shortage>& aShortages,
             std::vector<const Host*>& aHosts,
             FleetPlan& aPlan)
 {
@@ -110,7 +135,9 @@
       });
     aPlan.moves_.push_back({ aHosts.back()->name_, largest->first });
     aHosts.pop_back();
-    if (--largest->second <= 0) {
+    Shortage& shortage = largest->second;
+    shortage.forWaiting_ = std::max(shortage.forWaiting_ - 1, 0);
+    if (--shortage.hosts_ <= 0) {
       aShortages.erase(largest);
     }
   }
@@ -120,14 +147,15 @@
 void
 PlanMoves(const FleetView& aView, const PlannerOptions& aOptions, FleetPlan& aPlan)
 {
-  std::map<std::string, int> shortages;
+  std::map<std::string, Shortage> shortages;
   std::map<std::string, int> surplus;
   int totalShortage = 0;
   for (const auto& [pool, target] : aPlan.targets_) {
     const int difference =
       static_cast<int>(std::ceil(target - kIgnoredHostFraction)) - CountHosts(aView, pool);
     if (difference > 0) {
-      shortages[pool] = difference;
+      const int forWaiting = HostsForWaitingTasks(aView, pool, aOptions);
+      shortages[pool] = { std::min(forWaiting, difference), difference };
       totalShortage += difference;
     } else if (difference < 0 && aView.pools_.at(pool).fresh_) {
       surplus[pool] = -difference;
--- a/tests/unit/PlannerTest.cpp
+++ b/tests/unit/PlannerTest.cpp
@@ -349,6 +349,35 @@
   BOOST_TEST(plan.cordoned_.size() == 4U);
 }
 
+// A pool whose tasks waited lacked four hosts and got none for 15 s, as another lacked thirty.
+BOOST_AUTO_TEST_CASE(Pool_HasWaitingTasksWhileAnotherLacksMoreHosts_ReceivesHostsFirst)
+{
+  AddHost("1", "a", 1);
+  AddHost("2", "b", 9);
+  AddHost("3", "s");
+  AddHost("4", "s");
+  view_.pools_["a"].unschedulableTasks_ = 1;
+  view_.pools_["b"].urgentCores_ = 1'000;
+  const FleetPlan plan = Plan();
+  const auto toA = std::count_if(plan.moves_.begin(),
+                                 plan.moves_.end(),
+                                 [](const MoveOrder& aMove) { return aMove.pool_ == "a"; });
+  BOOST_TEST(toA == 1);
+  BOOST_TEST(plan.moves_.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(Pool_HasTasksThatCanNeverBePlaced_DoesNotReceiveAllHostsFirst)
+{
+  for (const char* name : { "1", "2", "3", "4", "5", "6", "7", "8" }) {
+    AddHost(name, "a", 1);
+  }
+  AddHost("9", "b", 9);
+  AddHost("10", "s");
+  view_.pools_["a"].unschedulableTasks_ = 100;
+  view_.pools_["b"].urgentCores_ = 1'000;
+  BOOST_TEST(Moves("10", "b"));
+}
+
 BOOST_AUTO_TEST_CASE(Forecast_RisingArrivals_ExceedsTheCurrentRate)
 {
   const std::deque<Arrival> rising{ { now_ - 900ms, 10 }, { now_ - 100ms, 30 } };
