No host is moved or maintained by a report whose answer ended the cordon

Cause: MakeView() took a worker as released if the last report showed it cordoned and idle and the current plan cordons it. Where one plan ended the cordon in the answer to that report and the next plan set it again, the cell may have started tasks since; the host was ordered by the old report if no newer one came between two plans.

Change: the workers that the answer cordoned are kept with the report, and only these can be released.

Evidence: Owner_LastAnswerDidNotCordonTheWorker_DoesNotMoveItsHost ordered the maintenance of m0 ('hosts_.orders_.empty() has failed') before and passes now.

--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -67,6 +67,7 @@
   {
     cells::CellReport report_;
     clock::Moment receivedAt_{};
+    std::set<std::string> answeredCordons_; ///< Workers that the answer to the report cordoned.
     std::map<std::string, clock::Moment> firstReported_; ///< When each worker was first reported.
     std::deque<std::pair<clock::Moment, double>>
       forecasts_; ///< Demand in cores, with the time of each report.
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -151,6 +151,7 @@
     }
   }
   serviceReport.firstReported_ = std::move(firstReported);
+  serviceReport.answeredCordons_ = orders.cordoned_;
   return orders;
 }
 
@@ -314,8 +315,10 @@
     }
     demand.fresh_ = aNow - serviceReport.receivedAt_ < kMaxReportAge;
     for (const cells::WorkerReport& worker : serviceReport.report_.workers_) {
+      // If the answer to the report ended the cordon, tasks may have been started since.
       const bool released = worker.cordoned_ && worker.synchronized_ && worker.runs_ == 0 &&
-                            cordoned_.contains(worker.id_);
+                            cordoned_.contains(worker.id_) &&
+                            serviceReport.answeredCordons_.contains(worker.id_);
       demand.workers_[worker.id_] = {
         worker.runs_, worker.hasLongRunning_, worker.cordoned_, released
       };
--- a/tests/unit/FleetManagerTest.cpp
+++ b/tests/unit/FleetManagerTest.cpp
@@ -96,11 +96,16 @@
       report.service_ = "svc";
       report.urgentCores_ = wantedCores_;
       aOwner.OnReport(report);
-      QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents, 20);
-      store_.AnswerAll();
+      ProcessEvents();
     }
   }
 
+  void ProcessEvents()
+  {
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents, 20);
+    store_.AnswerAll();
+  }
+
   /** Hands over the fleet as a stopping host does. */
   void HandOver(node::FleetManager& aOwner)
   {
@@ -208,6 +213,46 @@
   BOOST_TEST(hosts_.orders_.empty());
 }
 
+/** The answer let the cell start tasks on the worker after its report. */
+BOOST_AUTO_TEST_CASE(Owner_LastAnswerDidNotCordonTheWorker_DoesNotMoveItsHost)
+{
+  for (fleet::Host& host : hosts_.hosts_) {
+    host.pool_ = "svc";
+    host.worker_ = "w-" + host.name_;
+  }
+  wantedCores_ = 1'000;
+  const auto owner = Begin("b", 20, 0);
+  const auto report = [&] {
+    cells::CellReport idle;
+    idle.service_ = "svc";
+    idle.urgentCores_ = wantedCores_;
+    for (const fleet::Host& host : hosts_.hosts_) {
+      idle.workers_.push_back({ host.worker_, 0, false, true, true });
+    }
+    return owner->OnReport(idle);
+  };
+  QElapsedTimer timer;
+  timer.start();
+  while (timer.elapsed() < 1'200) {
+    BOOST_TEST(report().cordoned_.empty());
+    ProcessEvents();
+  }
+  // The next plans cordon workers. No report has been answered since.
+  wantedCores_ = 0;
+  feed_.waves_[1] = { 1, { "m0" }, 1 };
+  timer.start();
+  while (timer.elapsed() < 500) {
+    ProcessEvents();
+  }
+  BOOST_TEST(hosts_.orders_.empty());
+  timer.start();
+  while (hosts_.orders_.empty() && timer.elapsed() < 5'000) {
+    report();
+    ProcessEvents();
+  }
+  BOOST_TEST(!hosts_.orders_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(Owner_HostOrderedOnce_IsNotOrderedAgain)
 {
   const auto owner = Begin("b", 20, 0);
