A host shared by two waves is ordered for one at a time

What callers saw: nothing yet; the second order is answered "busy". If that answer were lost, the effect of the first order would be taken for that of the second, and a wave could be shown as completed without one of its hosts (not seen; by reading UpdateWave).

Cause: each wave was planned without the others' orders, so a free host was ordered for two waves in one plan, and again while the list still showed it as up.

Failing before: Waves_SharedHost_IsOrderedForOneAtATime: check Plan().maintenance_.size() == 1U has failed [2 != 1] Waves_SharedHost_IsOrderedForOneAtATime: check Plan().maintenance_.empty() has failed

Change: hosts ordered for one wave are left out by the others until the order has ended.

--- a/include/quetzal/fleet/MaintenanceBudget.h
+++ b/include/quetzal/fleet/MaintenanceBudget.h
@@ -2,8 +2,12 @@
 
 #include "include/quetzal/fleet/Planner.h"
 
+#include <unordered_set>
+
 namespace quetzal::fleet {
 
+using HostNames = std::unordered_set<std::string>;
+
 /** The hosts of one pool that all maintenance waves together may keep from new tasks. */
 struct MaintenanceBudget
 {
@@ -34,6 +38,10 @@
 bool
 WithholdHost(MaintenanceBudgets& aBudgets, const FleetPlan& aPlan, const Host& aHost);
 
+/** Returns the hosts that are ordered for a wave, though the list may still show them as up. */
+HostNames
+OrderedHosts(const std::vector<WaveProgress>& aWaves);
+
 /** Returns when a wave is due. */
 clock::Moment
 DueAt(const WaveProgress& aWave);
--- a/src/fleet/MaintenanceBudget.cpp
+++ b/src/fleet/MaintenanceBudget.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <unordered_set>
 
 namespace quetzal::fleet {
 namespace {
@@ -26,25 +25,10 @@
          });
 }
 
-/** Returns the hosts that are ordered for a wave, though the list may still show them as up. */
-std::unordered_set<std::string>
-OrderedHosts(const std::vector<WaveProgress>& aWaves)
-{
-  std::unordered_set<std::string> ordered;
-  for (const WaveProgress& wave : aWaves) {
-    for (const auto& [name, state] : wave.hosts_) {
-      if (state.phase_ == MaintenancePhase::kOrdered) {
-        ordered.insert(name);
-      }
-    }
-  }
-  return ordered;
-}
-
 std::map<std::string, PoolHosts>
 CountPoolHosts(const FleetView& aView, const FleetPlan& aPlan)
 {
-  const std::unordered_set<std::string> ordered = OrderedHosts(aView.waves_);
+  const HostNames ordered = OrderedHosts(aView.waves_);
   std::map<std::string, PoolHosts> pools;
   for (const Host& host : aView.hosts_) {
     const bool isDown = host.state_ == HostState::kMaintenance;
@@ -140,6 +124,20 @@
   return true;
 }
 
+HostNames
+OrderedHosts(const std::vector<WaveProgress>& aWaves)
+{
+  HostNames ordered;
+  for (const WaveProgress& wave : aWaves) {
+    for (const auto& [name, state] : wave.hosts_) {
+      if (state.phase_ == MaintenancePhase::kOrdered) {
+        ordered.insert(name);
+      }
+    }
+  }
+  return ordered;
+}
+
 clock::Moment
 DueAt(const WaveProgress& aWave)
 {
--- a/src/fleet/Planner.cpp
+++ b/src/fleet/Planner.cpp
@@ -270,6 +270,7 @@
 PlanMaintenance(const FleetView& aView,
                 const WaveProgress& aWave,
                 MaintenanceBudgets& aBudgets,
+                HostNames& aOrdered,
                 FleetPlan& aPlan)
 {
   if (aWave.completed_) {
@@ -282,12 +283,14 @@
     if (remaining <= 0) {
       return;
     }
-    if (!WithholdHost(aBudgets, aPlan, *host)) {
+    // An order for another wave must end first: its effect could be taken for that of a second one.
+    if (aOrdered.contains(host->name_) || !WithholdHost(aBudgets, aPlan, *host)) {
       continue;
     }
     --remaining;
     if (IsFree(aView, *host)) {
       aPlan.maintenance_.push_back({ host->name_, aWave.request_.number_ });
+      aOrdered.insert(host->name_);
       std::erase_if(aPlan.moves_,
                     [name = host->name_](const MoveOrder& aMove) { return aMove.host_ == name; });
     }
@@ -316,8 +319,9 @@
       return DueAt(*aLeft) < DueAt(*aRight);
     });
   MaintenanceBudgets budgets = MakeMaintenanceBudgets(aView, aPlan, aOptions, aNow);
+  HostNames ordered = OrderedHosts(aView.waves_);
   for (const WaveProgress* wave : waves) {
-    PlanMaintenance(aView, *wave, budgets, aPlan);
+    PlanMaintenance(aView, *wave, budgets, ordered, aPlan);
   }
 }
 
--- a/tests/unit/PlannerTest.cpp
+++ b/tests/unit/PlannerTest.cpp
@@ -378,6 +378,20 @@
   BOOST_TEST(Moves("10", "b"));
 }
 
+// The second order for a host could be taken for carried out when the first one was.
+BOOST_AUTO_TEST_CASE(Waves_SharedHost_IsOrderedForOneAtATime)
+{
+  AddHost("1", "s");
+  AddWave({ "1" }, 1);
+  AddWave({ "1" }, 1);
+  BOOST_TEST(Plan().maintenance_.size() == 1U);
+  view_.waves_[0].hosts_["1"].phase_ = MaintenancePhase::kOrdered;
+  BOOST_TEST(Plan().maintenance_.empty());
+  view_.waves_[0].hosts_["1"].phase_ = MaintenancePhase::kDone;
+  BOOST_TEST(Plan().maintenance_.size() == 1U);
+  BOOST_TEST(Plan().maintenance_.front().wave_ == 2);
+}
+
 BOOST_AUTO_TEST_CASE(Forecast_RisingArrivals_ExceedsTheCurrentRate)
 {
   const std::deque<Arrival> rising{ { now_ - 900ms, 10 }, { now_ - 100ms, 30 } };
