A new owner keeps the job records of its own cell only

Cause: a claim reads the records of all jobs of all cells, copies all of them into the predecessor's state, and Cell::RestoreJob decodes each whole record, with payload and steps, before it looks at the cell's name.

Change: jobs::CellOf reads the first element of a record and nothing more; the claim keeps the records of its own cell. A record that names no cell is kept, so that the cell reports it as it did.

Evidence, before the fix: CellClaimRead/Claim_MostJobsAreOfOtherCells_ OwnerGetsOnlyItsOwn has failed: Collections size mismatch: 502 != 2. After: RecordCell and CellClaimRead pass.

The store still sends all records, since their keys hold no cell; that part of a claim's time remains.

--- a/src/node/CellClaim.cpp
+++ b/src/node/CellClaim.cpp
@@ -1,11 +1,13 @@
 #include "include/quetzal/node/CellClaim.h"
 
+#include "include/quetzal/jobs/RecordCell.h"
 #include "include/quetzal/log/Log.h"
 #include "include/quetzal/membership/Rendezvous.h"
 
 #include <QtCore/QPointer>
 #include <QtCore/QTimer>
 #include <algorithm>
+#include <iterator>
 
 namespace quetzal::node {
 namespace {
@@ -32,6 +34,18 @@
   return cells / std::max(aRecord.processorShare_, kMinProcessorShare);
 }
 
+/** Returns the job records of a cell, and those that name no cell at all. */
+std::vector<store::KeyValue>
+JobsOf(const std::string& aCell, const std::vector<store::KeyValue>& aRecords)
+{
+  std::vector<store::KeyValue> jobs;
+  std::copy_if(
+    aRecords.begin(), aRecords.end(), std::back_inserter(jobs), [&aCell](const auto& aRecord) {
+      return jobs::CellOf(aRecord.value_).value_or(aCell) == aCell;
+    });
+  return jobs;
+}
+
 } // namespace
 
 CellClaim::CellClaim(store::SharedStore& aStore,
@@ -124,7 +138,7 @@
       return;
     }
     if (aResult.status_ == store::Status::kSucceeded) {
-      self->claimed_.predecessorState_.jobs_ = aResult.items_;
+      self->claimed_.predecessorState_.jobs_ = JobsOf(self->cell_, aResult.items_);
       self->ReadProgress();
       return;
     }
