A planned stop of an entry host has an upper bound: stop_time_s

What callers saw: a request with a long deadline, one that waited for a slot or for the store, and half a request each kept a stopping quetzal-entryd until its own time was over. A supervisor kills the process before that, and then these requests get no answer.

Cause: the stop waited until all requests had ended by themselves, and a request that arrived during the stop got the same deadline as any other, though the process would not live that long.

Change: stop_time_s (30 by default) is the time until the supervisor kills the process. A schedule is made from it (process/StopSchedule). At the stop all deadlines are moved to its last answer; requests that still run then are answered "unknown", those that wait "not-run", and those that would arrive too late are refused at once. The process exits at the schedule's end and logs what it leaves. A key that is granted after its request has ended is released.

--- a/include/quetzal/entry/CallerServer.h
+++ b/include/quetzal/entry/CallerServer.h
@@ -3,6 +3,7 @@
 #include "include/quetzal/entry/Dispatcher.h"
 #include "include/quetzal/entry/EntrySettings.h"
 #include "include/quetzal/http/Server.h"
+#include "include/quetzal/process/StopSchedule.h"
 
 #include <QtCore/QPointer>
 #include <unordered_map>
@@ -25,18 +26,22 @@
   void Listen();
 
   /** Makes the health check fail, so that load balancers send no new requests. Requests that still
-   * arrive are served; each connection is closed after its next response. */
-  void StartStopping();
+   * arrive are served within the schedule, or refused if the time is too short; each connection is
+   * closed after its next response. */
+  void StartStopping(const process::StopSchedule& aSchedule);
 
   /** Stops accepting connections and closes the idle ones. */
   void StopListening();
 
+  int OpenConnections() const { return openConnections_; }
+
   /** Returns whether every accepted request is answered and every connection is closed. */
   bool IsDone() const;
 
 private:
   void OnConnection(http::ServerConnection* aConnection);
   void OnRequest(http::ServerConnection* aConnection, const http::Request& aRequest);
+  bool BoundDeadline(clock::Moment& aDeadline) const;
   void OnFinished(const RequestResult& aResult);
   void Refuse(http::ServerConnection* aConnection, outcome::Reason aReason);
   void Reply(http::ServerConnection* aConnection,
@@ -54,6 +59,8 @@
   std::uint64_t lastId_ = 0;
   int openConnections_ = 0;
   bool stopping_ = false;
+  process::StopSchedule stopSchedule_;
+  clock::Moment stopStartedAt_{};
   // Last member: its connections are destroyed first, and their handlers use the members above.
   http::Server server_;
 };
--- a/include/quetzal/entry/Dispatcher.h
+++ b/include/quetzal/entry/Dispatcher.h
@@ -66,6 +66,14 @@
    * runs to its end and is not retried. */
   void Cancel(std::uint64_t aId);
 
+  /** Moves the deadlines of all pending requests to this moment at the latest. An attempt that is
+   * already in flight keeps its own deadline. */
+  void BoundDeadlines(clock::Moment aLatest);
+
+  /** Ends all pending requests. Finished() is emitted for each, with the outcome kUnknown if the
+   * request may have run. A request that is submitted later is not affected. */
+  void EndAll();
+
   /** Returns whether no request is queued or in flight. */
   bool IsIdle() const { return pending_.empty(); }
 
@@ -108,10 +116,13 @@
     ServiceRequest request_;
     int attempts_ = 0;
     std::set<std::string> tried_;
-    std::string assignedHost_; ///< The host of the current attempt; empty while the request waits.
+    /** The pool of the current attempt, which outlives the attempt. Null while the request waits.
+     */
+    connection::BackendPool* pool_ = nullptr;
     clock::Moment arrivedAt_{};
     bool holdsKey_ = false;
     bool callerLeft_ = false;
+    bool ending_ = false;           ///< EndAll() is ending the current attempt.
     bool hadSilentAttempt_ = false; ///< An attempt was abandoned because it was silent.
     /** The result of the last attempt that was answered or may have run. */
     std::optional<RequestResult> earlierResult_;
@@ -139,7 +150,11 @@
                       const connection::AttemptResult& aResult);
   void Finish(std::uint64_t aId, outcome::Reason aReason, const http::Response& aResponse = {});
   void CheckQueues();
+  void End(std::uint64_t aId);
+  void OnLateClaim(const claims::ClaimResult& aResult);
 
+  /** Claims that are not yet decided, of requests that have ended. */
+  std::map<std::uint64_t, claims::ClaimRequest> lateClaims_;
   std::string availabilityZone_;
   metrics::Registry& metrics_;
   view::View view_;
--- a/include/quetzal/entry/EntryProcess.h
+++ b/include/quetzal/entry/EntryProcess.h
@@ -39,6 +39,8 @@
   void ReadHostList();
   void OnClaimEnded(const claims::ClaimRequest& aRequest, const RequestResult& aResult);
   void CheckStopped();
+  bool HasFlushedClaims();
+  void LogUnfinished() const;
   QByteArray Status() const;
 
   EntrySettings settings_;
@@ -54,7 +56,9 @@
   view::StoreWatcher watcher_;
   QTimer hostListTimer_;
   QTimer stopTimer_;
-  std::chrono::steady_clock::time_point flushStartedAt_{};
+  process::StopSchedule stopSchedule_;
+  clock::Moment stopStartedAt_{};
+  clock::Moment flushStartedAt_{};
   bool stopping_ = false;
 };
 
--- a/include/quetzal/entry/EntrySettings.h
+++ b/include/quetzal/entry/EntrySettings.h
@@ -33,6 +33,7 @@
   int maxCallers_ = 0; ///< Bound on open connections of callers.
   /** In a planned stop, the time from when the health check fails until listening stops. */
   std::chrono::milliseconds stopNotice_{ 0 };
+  std::chrono::seconds stopTime_{ 0 }; ///< From the stop signal until the process is killed.
   std::chrono::milliseconds hostListInterval_{ 0 };
   std::chrono::seconds claimRetention_{ 0 }; ///< How long an idempotency key is remembered.
 };
--- a/src/entry/CallerServer.cpp
+++ b/src/entry/CallerServer.cpp
@@ -1,5 +1,6 @@
 #include "include/quetzal/entry/CallerServer.h"
 
+#include "include/quetzal/clock/Now.h"
 #include "include/quetzal/entry/ServiceRequestBuilder.h"
 #include "include/quetzal/http/Status.h"
 
@@ -121,17 +122,37 @@
   }
   const std::uint64_t id = ++lastId_;
   const view::View& view = dispatcher_.View();
-  const ServiceRequestResult result =
-    MakeServiceRequest(id, aRequest, view.document_.get(), std::chrono::steady_clock::now());
+  ServiceRequestResult result =
+    MakeServiceRequest(id, aRequest, view.document_.get(), clock::Now());
   if (result.refusal_ != Reason::kNone) {
     Refuse(aConnection, result.refusal_);
     return;
   }
+  if (stopping_ && !BoundDeadline(result.request_.deadline_)) {
+    Refuse(aConnection, Reason::kDeadlineTooShort);
+    return;
+  }
   waitingConnections_[id] = aConnection;
   lastRequestIds_[aConnection] = id;
   dispatcher_.Submit(result.request_);
 }
 
+/** Moves a deadline so that the response is sent before this process ends. @return false if the
+ * time until then is too short. */
+bool
+CallerServer::BoundDeadline(clock::Moment& aDeadline) const
+{
+  const clock::Moment now = clock::Now();
+  const auto elapsed = std::chrono::duration_cast<clock::Milliseconds>(now - stopStartedAt_);
+  const auto timeout = std::chrono::duration_cast<clock::Milliseconds>(aDeadline - now);
+  const auto bounded = process::TimeoutDuringStop(stopSchedule_, elapsed, timeout);
+  if (!bounded) {
+    return false;
+  }
+  aDeadline = std::min(aDeadline, now + *bounded);
+  return true;
+}
+
 void
 CallerServer::OnFinished(const RequestResult& aResult)
 {
@@ -174,9 +195,11 @@
 }
 
 void
-CallerServer::StartStopping()
+CallerServer::StartStopping(const process::StopSchedule& aSchedule)
 {
   stopping_ = true;
+  stopSchedule_ = aSchedule;
+  stopStartedAt_ = clock::Now();
   for (http::ServerConnection* connection : server_.Connections()) {
     connection->CloseAfterAnswer();
   }
--- a/src/entry/Dispatcher.cpp
+++ b/src/entry/Dispatcher.cpp
@@ -35,6 +35,21 @@
   return { aRequest.deadline_, aRequest.id_, aRequest.route_.class_ };
 }
 
+/** Returns the queue with all deadlines moved to this moment at the latest. */
+admission::Queue
+WithBoundedDeadlines(const admission::Queue& aQueue, clock::Moment aLatest)
+{
+  admission::Queue bounded;
+  bounded.consecutiveQuick_ = aQueue.consecutiveQuick_;
+  for (const auto* requests : { &aQueue.quick_, &aQueue.long_ }) {
+    for (admission::QueuedRequest request : *requests) {
+      request.deadline_ = std::min(request.deadline_, aLatest);
+      admission::Push(bounded, request);
+    }
+  }
+  return bounded;
+}
+
 /** Returns whether the request must claim its idempotency key: the caller may resubmit the
  * request, and the request must not run twice. */
 bool
@@ -214,6 +229,10 @@
 void
 Dispatcher::OnClaimDecided(const claims::ClaimResult& aResult)
 {
+  if (lateClaims_.contains(aResult.request_)) {
+    OnLateClaim(aResult);
+    return;
+  }
   const auto found = pending_.find(aResult.request_);
   Q_ASSERT(found != pending_.end());
   PendingRequest& pending = found->second;
@@ -313,7 +332,7 @@
   const ServiceRequest& request = aPending.request_;
   ++aPending.attempts_;
   aPending.tried_.insert(aHost);
-  aPending.assignedHost_ = aHost;
+  aPending.pool_ = &aState.servers_->PoolOf(aHost);
   connection::Attempt attempt;
   attempt.request_ = request.id_;
   attempt.bytes_ = BytesOf(request);
@@ -323,7 +342,7 @@
   attempt.deadline_ = request.deadline_;
   attempt.needsProbe_ = aPending.hadSilentAttempt_;
   attempt.silenceTimeout_ = admission::SilenceTimeout(aState.latency_[request.route_.class_]);
-  aState.servers_->PoolOf(aHost).Start(attempt);
+  aPending.pool_->Start(attempt);
 }
 
 void
@@ -332,7 +351,12 @@
   const auto found = pending_.find(aResult.request_);
   Q_ASSERT(found != pending_.end());
   PendingRequest& pending = found->second;
-  pending.assignedHost_.clear();
+  pending.pool_ = nullptr;
+  if (pending.ending_) {
+    const bool mayHaveRun = routing::OutcomeOf(aResult.state_) != outcome::Outcome::kNotRun;
+    Finish(aResult.request_, mayHaveRun ? Reason::kDeadlinePassed : Reason::kDeadlineInQueue);
+    return;
+  }
   ServiceState& state = services_.at(pending.request_.service_);
   const admission::Latency& usual = state.latency_[pending.request_.route_.class_];
   state.servers_->RecordAttempt(aHost, HasFailed(usual, aResult));
@@ -457,6 +481,60 @@
   }
 }
 
+void
+Dispatcher::BoundDeadlines(clock::Moment aLatest)
+{
+  for (auto& [id, pending] : pending_) {
+    pending.request_.deadline_ = std::min(pending.request_.deadline_, aLatest);
+  }
+  for (auto& [name, state] : services_) {
+    state.queue_ = WithBoundedDeadlines(state.queue_, aLatest);
+  }
+}
+
+void
+Dispatcher::EndAll()
+{
+  for (auto& [name, state] : services_) {
+    state.queue_ = {};
+    state.deferredRetries_.clear();
+  }
+  std::vector<std::uint64_t> ids;
+  for (const auto& [id, pending] : pending_) {
+    ids.push_back(id);
+  }
+  for (const std::uint64_t id : ids) {
+    End(id);
+  }
+}
+
+void
+Dispatcher::End(std::uint64_t aId)
+{
+  PendingRequest& pending = pending_.at(aId);
+  if (pending.pool_ != nullptr) {
+    pending.ending_ = true;
+    pending.pool_->Abandon(aId);
+    return;
+  }
+  const bool isClaiming = NeedsClaim(pending.request_) && !pending.holdsKey_;
+  if (isClaiming) {
+    lateClaims_[aId] = ToClaim(pending.request_);
+  }
+  Finish(aId, isClaiming ? Reason::kClaimUnavailable : Reason::kDeadlineInQueue);
+}
+
+/** Releases the key if it is granted, since the request has ended without running. */
+void
+Dispatcher::OnLateClaim(const claims::ClaimResult& aResult)
+{
+  const claims::ClaimRequest claim = lateClaims_.at(aResult.request_);
+  lateClaims_.erase(aResult.request_);
+  if (aResult.decision_ == claims::ClaimDecision::kGranted) {
+    Q_EMIT ClaimEnded(claim, { aResult.request_, Reason::kClaimUnavailable, {} });
+  }
+}
+
 void
 Dispatcher::CheckQueues()
 {
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -1,5 +1,6 @@
 #include "include/quetzal/entry/EntryProcess.h"
 
+#include "include/quetzal/clock/Now.h"
 #include "include/quetzal/connection/ConnectionPolicy.h"
 #include "include/quetzal/log/Log.h"
 
@@ -10,6 +11,8 @@
 namespace quetzal::entry {
 namespace {
 
+using clock::Now;
+
 constexpr std::chrono::milliseconds kStopCheckInterval{ 20 };
 /** Bound on the time for which a planned stop waits until the writes of answers and of
  * released claims are complete. */
@@ -89,6 +92,7 @@
   , callerServer_(aSettings, dispatcher_, metrics_, nullptr)
   , operatorServer_(metrics_, [this] { return Status(); })
   , watcher_(store_, aSettings.environment_, nullptr)
+  , stopSchedule_(process::MakeStopSchedule(aSettings.stopTime_, aSettings.stopNotice_))
 {
   ConnectSignals();
   RegisterRefusalCounters(metrics_);
@@ -157,31 +161,56 @@
     return;
   }
   stopping_ = true;
-  flushStartedAt_ = std::chrono::steady_clock::now();
+  stopStartedAt_ = Now();
+  flushStartedAt_ = stopStartedAt_;
   log::Info("entry", "Planned stop started; the health check now answers 503");
-  callerServer_.StartStopping();
+  dispatcher_.BoundDeadlines(stopStartedAt_ + stopSchedule_.lastAnswer_);
+  callerServer_.StartStopping(stopSchedule_);
   QTimer::singleShot(settings_.stopNotice_, this, [this] {
     callerServer_.StopListening();
     stopTimer_.start(kStopCheckInterval);
   });
+  QTimer::singleShot(
+    stopSchedule_.lastAnswer_, Qt::PreciseTimer, this, [this] { dispatcher_.EndAll(); });
 }
 
 void
 EntryProcess::CheckStopped()
 {
-  if (!callerServer_.IsDone() || !dispatcher_.IsIdle()) {
-    flushStartedAt_ = std::chrono::steady_clock::now();
-    return;
+  const bool isIdle = callerServer_.IsDone() && dispatcher_.IsIdle();
+  if (!isIdle) {
+    flushStartedAt_ = Now();
   }
-  const bool flushed = claims_.IsIdle();
-  if (!flushed && std::chrono::steady_clock::now() - flushStartedAt_ < kClaimFlushTimeout) {
+  const auto elapsed = std::chrono::duration_cast<clock::Milliseconds>(Now() - stopStartedAt_);
+  if (!process::MayExit(stopSchedule_, elapsed, isIdle && HasFlushedClaims())) {
     return;
   }
   stopTimer_.stop();
+  LogUnfinished();
   log::Info("entry", "Planned stop complete");
   Q_EMIT Stopped();
 }
 
+bool
+EntryProcess::HasFlushedClaims()
+{
+  return claims_.IsIdle() || Now() - flushStartedAt_ >= kClaimFlushTimeout;
+}
+
+void
+EntryProcess::LogUnfinished() const
+{
+  if (callerServer_.OpenConnections() > 0) {
+    log::Warn("entry",
+              "The stop time is over: ",
+              callerServer_.OpenConnections(),
+              " connections of callers are closed");
+  }
+  if (!claims_.IsIdle()) {
+    log::Warn("entry", "The planned stop ends before all claims are written");
+  }
+}
+
 QByteArray
 EntryProcess::Status() const
 {
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -1,5 +1,7 @@
 #include "include/quetzal/entry/EntrySettings.h"
 
+#include "include/quetzal/process/StopSchedule.h"
+
 #include <algorithm>
 
 namespace quetzal::entry {
@@ -13,6 +15,9 @@
 constexpr std::int64_t kMaxBodyBytes = 8 * 1024 * 1024;
 constexpr std::int64_t kMaxCallers = 50'000;
 constexpr int kDefaultCallers = 4'000;
+constexpr std::int64_t kMinStopSeconds = 2;
+constexpr std::int64_t kMaxStopSeconds = 3'600;
+constexpr std::int64_t kDefaultStopSeconds = 30;
 constexpr std::int64_t kMinRetentionSeconds = 60;
 constexpr std::int64_t kMaxRetentionSeconds = 24 * 3'600;
 constexpr std::int64_t kDefaultRetentionSeconds = 3'600;
@@ -45,6 +50,22 @@
     static_cast<int>(node->Integer("callers", 1, kMaxCallers, kDefaultCallers));
 }
 
+void
+ReadStopTimes(const Node& aRoot, EntrySettings& aSettings)
+{
+  aSettings.stopNotice_ = aRoot.Milliseconds("stop_notice_ms", 0ms, 5min, 2s);
+  aSettings.stopTime_ = std::chrono::seconds(
+    aRoot.Integer("stop_time_s", kMinStopSeconds, kMaxStopSeconds, kDefaultStopSeconds));
+  const auto schedule = process::MakeStopSchedule(aSettings.stopTime_, aSettings.stopNotice_);
+  if (schedule.minServingTime_ >= schedule.lastAnswer_) {
+    const auto notice = aRoot.Optional("stop_notice_ms");
+    const Node& wrong = notice ? *notice : aRoot.Required("stop_time_s");
+    const clock::Milliseconds margin = aSettings.stopTime_ - schedule.lastAnswer_;
+    throw wrong.Error("stop_time_s more than " + std::to_string(margin.count()) +
+                      " ms above stop_notice_ms");
+  }
+}
+
 } // namespace
 
 EntrySettings
@@ -60,6 +81,7 @@
                    "entry_hosts",
                    "limits",
                    "stop_notice_ms",
+                   "stop_time_s",
                    "host_list_interval_ms",
                    "claim_retention_s" });
   EntrySettings settings;
@@ -77,7 +99,7 @@
     throw root.Required("entry_hosts").Error("exactly one item with the name " + settings.name_);
   }
   ReadLimits(root, settings);
-  settings.stopNotice_ = root.Milliseconds("stop_notice_ms", 0ms, 5min, 2s);
+  ReadStopTimes(root, settings);
   settings.hostListInterval_ = root.Milliseconds("host_list_interval_ms", 50ms, 1min, 1s);
   settings.claimRetention_ = std::chrono::seconds(root.Integer(
     "claim_retention_s", kMinRetentionSeconds, kMaxRetentionSeconds, kDefaultRetentionSeconds));
