A silent request on a host that leaves the document no longer ends the entry host

What callers saw: every open request of an entry host lost its connection with no answer. This happened when a new document took a host out while an idempotent request was silent there.

Cause: the report of a silent attempt looked for the pool of its host among the pools of the document in force. The pool was retired and no longer among them: std::map::at threw, and the exception ended the process (exit code 1, "map::at" on standard error).

Evidence: Request_SilentOnAHostThatLeavesTheDocument_IsRetriedOnAnother on the code before: "cut" for the request and for the next one, in three of three runs; the log says "map::at".

Change: the dispatcher keeps the pool of each request's current attempt, which outlives the attempt, and abandons the attempt there. If a host leaves and comes back, its new pool is not mistaken for the one that runs the attempt.

After: the request is answered by the other backend server, in two of two runs.

--- a/include/quetzal/entry/BackendServers.h
+++ b/include/quetzal/entry/BackendServers.h
@@ -56,7 +56,7 @@
 
 Q_SIGNALS:
   void AttemptEnded(const std::string& aHost, const quetzal::connection::AttemptResult& aResult);
-  void AttemptSilent(const std::string& aHost, std::uint64_t aRequest);
+  void AttemptSilent(std::uint64_t aRequest);
   void CapacityChanged();
 
 private:
--- a/include/quetzal/entry/Dispatcher.h
+++ b/include/quetzal/entry/Dispatcher.h
@@ -141,7 +141,7 @@
   bool SendNext(ServiceState& aState);
   void Send(ServiceState& aState, PendingRequest& aPending, const std::string& aHost);
   void OnAttemptEnded(const std::string& aHost, const connection::AttemptResult& aResult);
-  void OnAttemptSilent(const std::string& aHost, std::uint64_t aRequest);
+  void OnAttemptSilent(std::uint64_t aRequest);
   static retry::RetryContext QuestionOf(const ServiceState& aState,
                                         const PendingRequest& aPending,
                                         routing::AttemptState aAttempt);
--- a/src/entry/BackendServers.cpp
+++ b/src/entry/BackendServers.cpp
@@ -61,9 +61,7 @@
     pool, &BackendPool::AttemptEnded, this, [this, host](const connection::AttemptResult& aResult) {
       Q_EMIT AttemptEnded(host, aResult);
     });
-  connect(pool, &BackendPool::AttemptSilent, this, [this, host](std::uint64_t aRequest) {
-    Q_EMIT AttemptSilent(host, aRequest);
-  });
+  connect(pool, &BackendPool::AttemptSilent, this, &BackendServers::AttemptSilent);
   connect(pool, &BackendPool::CapacityChanged, this, &BackendServers::CapacityChanged);
   return pool;
 }
--- a/src/entry/Dispatcher.cpp
+++ b/src/entry/Dispatcher.cpp
@@ -376,7 +376,7 @@
 }
 
 void
-Dispatcher::OnAttemptSilent(const std::string& aHost, std::uint64_t aRequest)
+Dispatcher::OnAttemptSilent(std::uint64_t aRequest)
 {
   PendingRequest& pending = pending_.at(aRequest);
   ServiceState& state = services_.at(pending.request_.service_);
@@ -386,7 +386,7 @@
     return;
   }
   pending.hadSilentAttempt_ = true;
-  state.servers_->PoolOf(aHost).Abandon(aRequest);
+  pending.pool_->Abandon(aRequest);
 }
 
 retry::RetryContext
--- a/tests/integration/EntryStopTest.cpp
+++ b/tests/integration/EntryStopTest.cpp
@@ -1,6 +1,7 @@
 #include "tests/harness/Deployment.h"
 
 #include <QtNetwork/QTcpSocket>
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fstream>
@@ -198,4 +199,57 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** Requests whose attempt ends while their host or their caller leaves. */
+struct EntryRetryFixture : EntryStopFixture
+{
+  /** Starts a request and waits until a backend server runs it. @return the server's index. */
+  int Begin(const Request& aRequest, const std::string& aId, std::unique_ptr<Call>& aCall)
+  {
+    aCall = std::make_unique<Call>(deployment_.Callers(kStopping), aRequest);
+    BOOST_REQUIRE(WaitUntil([&] { return deployment_.RunsOf(aId) == 1; }));
+    return deployment_.RunsOn(0, aId) == 1 ? 0 : 1;
+  }
+
+  /** Writes the deployment's document without one host. @return the file. */
+  std::string WriteDocumentWithout(int aHost) const
+  {
+    const std::string host = deployment_.HostName(aHost);
+    std::istringstream lines(deployment_.DocumentText());
+    const std::string file =
+      directory_.filePath(QString::fromStdString("without-" + host)).toStdString();
+    std::ofstream output(file);
+    std::string line;
+    while (std::getline(lines, line)) {
+      if (line.find("name: " + host) == std::string::npos) {
+        const bool isPool = line.find(" hosts: [") != std::string::npos;
+        output << (isPool ? "    hosts: [" + deployment_.HostName(1 - aHost) + "]" : line) << '\n';
+      }
+    }
+    return file;
+  }
+
+  QTemporaryDir directory_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(EntryRetries, EntryRetryFixture)
+
+BOOST_AUTO_TEST_CASE(Request_SilentOnAHostThatLeavesTheDocument_IsRetriedOnAnother)
+{
+  std::array<std::string, 2> files{ WriteDocumentWithout(0), WriteDocumentWithout(1) };
+  std::array<std::string, 2> tokens;
+  for (std::size_t i = 0; i < files.size(); ++i) {
+    tokens.at(i) = TokenOf(deployment_.Trial(files.at(i)));
+  }
+  deployment_.SetMode("silent");
+  std::unique_ptr<Call> call;
+  const auto silent =
+    static_cast<std::size_t>(Begin(deployment_.MakeRequest("GET", "/", "silent"), "silent", call));
+  deployment_.SetMode("normal");
+  BOOST_REQUIRE(deployment_.Promote(files.at(silent), tokens.at(silent)).exitCode_ == 0);
+  BOOST_TEST(OutcomeOf(call->Wait()) == "answered");
+  BOOST_TEST(OutcomeOf(deployment_.Get(kStopping, "/", "next")) == "answered");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace
