A deferred retry is dropped when its caller leaves

What callers saw: a request whose caller had left ran once more on a backend server, up to the deadline. At a planned stop it also kept the process.

Cause: Dispatcher::Cancel dropped requests in the queue but not deferred retries.

Change: Cancel removes a request from the deferred retries as well.

--- a/include/quetzal/entry/Dispatcher.h
+++ b/include/quetzal/entry/Dispatcher.h
@@ -62,8 +62,8 @@
   /** Continues a request for which ClaimNeeded() was emitted. */
   void OnClaimDecided(const claims::ClaimResult& aResult);
 
-  /** Notes that a request's caller has left. A queued request is dropped; otherwise the attempt
-   * runs to its end and is not retried. */
+  /** Notes that a request's caller has left. A request that is queued or waits for a retry is
+   * dropped; otherwise the attempt runs to its end and is not retried. */
   void Cancel(std::uint64_t aId);
 
   /** Moves the deadlines of all pending requests to this moment at the latest. An attempt that is
@@ -136,6 +136,9 @@
   void WaitForSlots(const ServiceState& aState);
   void SendWaiting(ServiceState& aState);
   void SendDeferredRetries(ServiceState& aState);
+  /** Removes a request from the queue or the deferred retries. @return false if it does not wait.
+   */
+  static bool RemoveWaiting(ServiceState& aState, const ServiceRequest& aRequest);
   void DeferRetry(ServiceState& aState, const PendingRequest& aPending);
   std::optional<std::size_t> Choose(const std::vector<routing::Candidate>& aCandidates);
   bool SendNext(ServiceState& aState);
--- a/src/entry/Dispatcher.cpp
+++ b/src/entry/Dispatcher.cpp
@@ -465,6 +465,16 @@
   return routing::ChooseBackendServer(aCandidates, first, second);
 }
 
+bool
+Dispatcher::RemoveWaiting(ServiceState& aState, const ServiceRequest& aRequest)
+{
+  const auto isSame = [&aRequest](const DeferredRetry& aRetry) {
+    return aRetry.request_ == aRequest.id_;
+  };
+  return std::erase_if(aState.deferredRetries_, isSame) > 0 ||
+         admission::Remove(aState.queue_, ToWaiting(aRequest));
+}
+
 void
 Dispatcher::Cancel(std::uint64_t aId)
 {
@@ -475,8 +485,7 @@
   PendingRequest& pending = found->second;
   pending.callerLeft_ = true;
   const auto state = services_.find(pending.request_.service_);
-  if (state != services_.end() &&
-      admission::Remove(state->second.queue_, ToWaiting(pending.request_))) {
+  if (state != services_.end() && RemoveWaiting(state->second, pending.request_)) {
     Finish(aId, Reason::kCallerLeft);
   }
 }
--- a/tests/integration/EntryStopTest.cpp
+++ b/tests/integration/EntryStopTest.cpp
@@ -250,6 +250,23 @@
   BOOST_TEST(OutcomeOf(deployment_.Get(kStopping, "/", "next")) == "answered");
 }
 
+/** The caller leaves while the retry waits for a server that was not tried. */
+BOOST_AUTO_TEST_CASE(Request_CallerLeavesWhileItsRetryIsDeferred_DoesNotRunAgain)
+{
+  std::unique_ptr<Call> blocking;
+  const auto post = deployment_.MakeRequest("POST", "/?work_ms=1000", "blocking");
+  const int busy = Begin(post, "blocking", blocking);
+  const int free = 1 - busy;
+  deployment_.ControlBackend(free, "/control/mode", "close-after-read");
+  auto call = std::make_unique<Call>(deployment_.Callers(kStopping),
+                                     deployment_.MakeRequest("GET", "/", "left"));
+  Pause(20ms);
+  call.reset();
+  BOOST_TEST(OutcomeOf(blocking->Wait()) == "answered");
+  BOOST_TEST(deployment_.RunsOn(free, "left") == 1);
+  BOOST_TEST(deployment_.RunsOn(busy, "left") == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
