--- a/include/quetzal/entry/Dispatcher.h
+++ b/include/quetzal/entry/Dispatcher.h
@@ -62,10 +62,18 @@
   /** Continues a request for which ClaimNeeded() was emitted. */
   void OnClaimDecided(const claims::ClaimResult& aResult);
 
-  /** Notes that a request's caller has left. A queued request is dropped; otherwise the attempt
-   * runs to its end and is not retried. */
+  /** Notes that a request's caller has left. A request that is queued or waits for a retry is
+   * dropped; otherwise the attempt runs to its end and is not retried. */
   void Cancel(std::uint64_t aId);
 
+  /** Moves the deadlines of all pending requests to this moment at the latest. An attempt that is
+   * already in flight keeps its own deadline. */
+  void BoundDeadlines(clock::Moment aLatest);
+
+  /** Ends all pending requests. Finished() is emitted for each, with the outcome kUnknown if the
+   * request may have run. A request that is submitted later is not affected. */
+  void EndAll();
+
   /** Returns whether no request is queued or in flight. */
   bool IsIdle() const { return pending_.empty(); }
 
@@ -108,10 +116,13 @@
     ServiceRequest request_;
     int attempts_ = 0;
     std::set<std::string> tried_;
-    std::string assignedHost_; ///< The host of the current attempt; empty while the request waits.
+    /** The pool of the current attempt, which outlives the attempt. Null while the request waits.
+     */
+    connection::BackendPool* pool_ = nullptr;
     clock::Moment arrivedAt_{};
     bool holdsKey_ = false;
     bool callerLeft_ = false;
+    bool ending_ = false;           ///< EndAll() is ending the current attempt.
     bool hadSilentAttempt_ = false; ///< An attempt was abandoned because it was silent.
     /** The result of the last attempt that was answered or may have run. */
     std::optional<RequestResult> earlierResult_;
@@ -125,12 +136,15 @@
   void WaitForSlots(const ServiceState& aState);
   void SendWaiting(ServiceState& aState);
   void SendDeferredRetries(ServiceState& aState);
+  /** Removes a request from the queue or the deferred retries. @return false if it does not wait.
+   */
+  static bool RemoveWaiting(ServiceState& aState, const ServiceRequest& aRequest);
   void DeferRetry(ServiceState& aState, const PendingRequest& aPending);
   std::optional<std::size_t> Choose(const std::vector<routing::Candidate>& aCandidates);
   bool SendNext(ServiceState& aState);
   void Send(ServiceState& aState, PendingRequest& aPending, const std::string& aHost);
   void OnAttemptEnded(const std::string& aHost, const connection::AttemptResult& aResult);
-  void OnAttemptSilent(const std::string& aHost, std::uint64_t aRequest);
+  void OnAttemptSilent(std::uint64_t aRequest);
   static retry::RetryContext QuestionOf(const ServiceState& aState,
                                         const PendingRequest& aPending,
                                         routing::AttemptState aAttempt);
@@ -139,7 +153,11 @@
                       const connection::AttemptResult& aResult);
   void Finish(std::uint64_t aId, outcome::Reason aReason, const http::Response& aResponse = {});
   void CheckQueues();
+  void End(std::uint64_t aId);
+  void OnLateClaim(const claims::ClaimResult& aResult);
 
+  /** Claims that are not yet decided, of requests that have ended. */
+  std::map<std::uint64_t, claims::ClaimRequest> lateClaims_;
   std::string availabilityZone_;
   metrics::Registry& metrics_;
   view::View view_;
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -6,7 +6,7 @@
 #include "include/quetzal/node/NodeSettings.h"
 #include "include/quetzal/node/OpenRequests.h"
 #include "include/quetzal/node/PeerLinks.h"
-#include "include/quetzal/node/StopSchedule.h"
+#include "include/quetzal/process/StopSchedule.h"
 
 #include <QtCore/QObject>
 #include <QtCore/QTimer>
@@ -120,7 +120,7 @@
   std::int64_t fleetKeyRevision_ = 0;
   QTimer periodicTimer_;
   clock::Moment startedAt_;
-  StopSchedule stopSchedule_;
+  process::StopSchedule stopSchedule_;
   clock::Moment stopStartedAt_{};
   bool stopping_ = false;
   bool handedOver_ = false;
--- a/include/quetzal/node/StopSchedule.h
+++ b/include/quetzal/process/StopSchedule.h
@@ -4,7 +4,7 @@
 
 #include <optional>
 
-namespace quetzal::node {
+namespace quetzal::process {
 
 /** The times of a planned stop, all counted from the stop signal. */
 struct StopSchedule
@@ -20,9 +20,10 @@
   auto operator<=>(const StopSchedule&) const = default;
 };
 
-/** Returns the schedule for a process that is killed @p aStopTime after the stop signal. */
+/** Returns the schedule for a process that is killed @p aStopTime after the stop signal. The
+ * minimum serving time is cut if the stop time is too short for it. */
 StopSchedule
-MakeStopSchedule(clock::Milliseconds aStopTime);
+MakeStopSchedule(clock::Milliseconds aStopTime, clock::Milliseconds aMinServingTime);
 
 /** Returns how long a request that arrives during the stop may take. @param aElapsed since the stop
  * signal; @param aTimeout how long its caller waits. @return nothing if the process ends too soon
@@ -37,4 +38,4 @@
 bool
 MayExit(const StopSchedule& aSchedule, clock::Milliseconds aElapsed, bool aIsIdle);
 
-} // namespace quetzal::node
+} // namespace quetzal::process
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -16,6 +16,8 @@
 /** How long a cell that is being handed over may take to finish its pending writes. */
 constexpr clock::Milliseconds kHandOverTimeout{ 900 };
 constexpr clock::Milliseconds kReportTimeout{ 700 };
+/** New requests arrive until the readiness check has been seen to fail. */
+constexpr clock::Milliseconds kMinServingTimeDuringStop{ 3'200 };
 /** How long the load must stay uneven before a cell is handed over. By then, this host knows
  * which hosts have just stopped or returned. */
 constexpr clock::Milliseconds kBalanceDelay{ 1'000 };
@@ -49,7 +51,7 @@
   , links_(nullptr)
   , requests_(nullptr)
   , startedAt_(Now())
-  , stopSchedule_(MakeStopSchedule(aSettings.stopTime_))
+  , stopSchedule_(process::MakeStopSchedule(aSettings.stopTime_, kMinServingTimeDuringStop))
 {
   connect(&periodicTimer_, &QTimer::timeout, this, &NodeProcess::OnPeriodicTimer);
   connect(&membership_, &Membership::Changed, this, [this] {
@@ -302,7 +304,7 @@
 {
   JobRequest request = aRequest;
   if (stopping_) {
-    const auto timeout = TimeoutDuringStop(stopSchedule_, SinceStop(), aRequest.timeout_);
+    const auto timeout = process::TimeoutDuringStop(stopSchedule_, SinceStop(), aRequest.timeout_);
     if (!timeout) {
       aDone(Refusal());
       return;
@@ -612,7 +614,7 @@
 bool
 NodeProcess::MayExit(bool aIsIdle) const
 {
-  return stopping_ && node::MayExit(stopSchedule_, SinceStop(), aIsIdle);
+  return stopping_ && process::MayExit(stopSchedule_, SinceStop(), aIsIdle);
 }
 
 void
--- a/src/node/StopSchedule.cpp
+++ b/src/process/StopSchedule.cpp
@@ -1,11 +1,10 @@
-#include "include/quetzal/node/StopSchedule.h"
+#include "include/quetzal/process/StopSchedule.h"
 
 #include <algorithm>
 
-namespace quetzal::node {
+namespace quetzal::process {
 namespace {
 
-constexpr clock::Milliseconds kMinServingTime{ 3'200 };
 /** Left between the exit and the kill for a process that is slow to run. */
 constexpr clock::Milliseconds kExitMargin{ 800 };
 /** Time for which the last answers are sent. */
@@ -16,13 +15,13 @@
 } // namespace
 
 StopSchedule
-MakeStopSchedule(clock::Milliseconds aStopTime)
+MakeStopSchedule(clock::Milliseconds aStopTime, clock::Milliseconds aMinServingTime)
 {
   constexpr clock::Milliseconds kNone{ 0 };
   StopSchedule schedule;
   schedule.exit_ = std::max(aStopTime - kExitMargin, kNone);
   schedule.lastAnswer_ = std::max(schedule.exit_ - kSendTime, kNone);
-  schedule.minServingTime_ = std::min(kMinServingTime, schedule.lastAnswer_);
+  schedule.minServingTime_ = std::min(aMinServingTime, schedule.lastAnswer_);
   return schedule;
 }
 
@@ -44,4 +43,4 @@
   return aElapsed >= aSchedule.exit_ || (aIsIdle && aElapsed >= aSchedule.minServingTime_);
 }
 
-} // namespace quetzal::node
+} // namespace quetzal::process
--- a/tests/unit/StopScheduleTest.cpp
+++ b/tests/unit/StopScheduleTest.cpp
@@ -1,15 +1,15 @@
-#include "include/quetzal/node/StopSchedule.h"
+#include "include/quetzal/process/StopSchedule.h"
 
 #include <boost/test/unit_test.hpp>
 
 namespace {
 
-using namespace quetzal::node;
+using namespace quetzal::process;
 using namespace std::chrono_literals;
 
 struct StopScheduleFixture
 {
-  const StopSchedule schedule_ = MakeStopSchedule(6'000ms);
+  const StopSchedule schedule_ = MakeStopSchedule(6'000ms, 3'200ms);
 };
 
 BOOST_FIXTURE_TEST_SUITE(StopScheduleOfAProcess, StopScheduleFixture)
@@ -17,7 +17,7 @@
 BOOST_AUTO_TEST_CASE(Schedule_OfAnyStopTime_AnswersBeforeTheExitAndExitsBeforeTheKill)
 {
   for (const auto stopTime : { 0ms, 500ms, 1'000ms, 2'000ms, 6'000ms, 30'000ms }) {
-    const StopSchedule schedule = MakeStopSchedule(stopTime);
+    const StopSchedule schedule = MakeStopSchedule(stopTime, 3'200ms);
     BOOST_TEST((schedule.minServingTime_ >= 0ms));
     BOOST_TEST((schedule.minServingTime_ <= schedule.lastAnswer_));
     BOOST_TEST((schedule.lastAnswer_ <= schedule.exit_));
