A call that cannot be decoded is answered as not owned

Callers: an entry host that sent another one a call it cannot decode (a method or a body of another version) waited for the call's whole timeout, took the outcome as unknown and sent the call again until its time was over.

Cause: NodeProcess::ServePeer logged event=call-ignored and returned without a reply, although nothing had been executed.

Evidence, on the code before the change: JobCall_NotReadable_IsAnsweredAsNotOwned: check result.failure_ == CallFailure::kNone has failed (each of four bodies) Call_OfAnUnknownMethod_IsAnswered: check Call(kUnknown, "unreadable").failure_ == CallFailure::kNone has failed

Change: the reply is JobReply{} with owned_ = false, which tells the caller truthfully that this call executed nothing. event=call-ignored stays.

After: the three tests of CallsOfOtherHosts pass. A call of an unknown method whose body is an empty array was answered as not owned before too.

--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -478,11 +478,11 @@
     return;
   }
   JobCall call;
-  if (!jobs::Decode(aBody, call)) {
+  const bool isReadable = jobs::Decode(aBody, call);
+  if (!isReadable) {
     log::Warn("node", "event=call-ignored bytes=", aBody.size());
-    return;
   }
-  const auto cell = cells_.find(call.cell_);
+  const auto cell = isReadable ? cells_.find(call.cell_) : cells_.end();
   if (cell == cells_.end()) {
     aReply(jobs::Encode(JobReply{}));
     return;
