A malformed message between entry hosts closes its connection

Callers: a call whose answer arrived malformed waited for its whole timeout before its outcome was known to be unknown. A host that received malformed bytes kept the connection and went on reading after them.

Cause: PeerLinks logged event=message-ignored and skipped the message, in either direction; only a frame beyond the size limit closed the connection.

Change: UnpackEnvelope() throws wire::WireError. The reader of a connection drops it as it does for an invalid frame; a served connection is closed by ServerLink::Close(), which drops what was read but not yet handled. event=caller-dropped is new; event=message-ignored is gone.

--- a/include/quetzal/node/PeerLinks.h
+++ b/include/quetzal/node/PeerLinks.h
@@ -58,6 +58,7 @@
 private:
   struct Peer;
 
+  void ServeCall(wire::ServerLink* aLink, const std::string& aPayload);
   Peer& PeerAt(const settings::Endpoint& aEndpoint);
   void OnBytes(Peer& aPeer);
   void DropConnection(Peer& aPeer);
--- a/include/quetzal/wire/Link.h
+++ b/include/quetzal/wire/Link.h
@@ -23,6 +23,9 @@
 
   void Send(const std::string& aPayload);
 
+  /** Closes the connection. Messages that have arrived but were not yet handled are dropped. */
+  void Close();
+
 Q_SIGNALS:
   void MessageArrived(const std::string& aPayload);
   void Ended();
--- a/src/node/PeerLinks.cpp
+++ b/src/node/PeerLinks.cpp
@@ -2,11 +2,11 @@
 
 #include "include/quetzal/log/Log.h"
 #include "include/quetzal/wire/Frame.h"
+#include "src/node/Envelope.h"
 
 #include <QtCore/QPointer>
 #include <QtNetwork/QHostAddress>
 #include <QtNetwork/QTcpSocket>
-#include <msgpack.hpp>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -18,37 +18,6 @@
 /** Time limit for connecting, and for sent bytes to be acknowledged by the other host. */
 constexpr clock::Milliseconds kConnectionTimeout{ 900 };
 
-/** A call or its answer. */
-struct Envelope
-{
-  std::int64_t number_ = 0;
-  int method_ = 0; ///< 0 marks an answer.
-  std::string body_;
-
-  MSGPACK_DEFINE_ARRAY(number_, method_, body_)
-};
-
-std::string
-Pack(const Envelope& aEnvelope)
-{
-  msgpack::sbuffer buffer;
-  msgpack::pack(buffer, aEnvelope);
-  return { buffer.data(), buffer.size() };
-}
-
-std::optional<Envelope>
-Unpack(const std::string& aPayload)
-{
-  try {
-    Envelope envelope;
-    msgpack::unpack(aPayload.data(), aPayload.size()).get().convert(envelope);
-    return envelope;
-  } catch (const std::exception& error) {
-    log::Warn("peers", "event=message-ignored error=", error.what());
-    return std::nullopt;
-  }
-}
-
 } // namespace
 
 struct PeerLinks::Peer
@@ -73,19 +42,8 @@
 {
   connect(&timer_, &QTimer::timeout, this, &PeerLinks::ExpireCalls);
   connect(&server_, &wire::LinkServer::LinkArrived, this, [this](wire::ServerLink* aLink) {
-    const QPointer<wire::ServerLink> link(aLink);
-    connect(aLink, &wire::ServerLink::MessageArrived, this, [this, link](const auto& aPayload) {
-      const auto call = Unpack(aPayload);
-      if (!call || !handler_) {
-        return;
-      }
-      handler_(static_cast<PeerMethod>(call->method_),
-               call->body_,
-               [link, number = call->number_](const std::string& aBody) {
-                 if (link) {
-                   link->Send(Pack({ number, 0, aBody }));
-                 }
-               });
+    connect(aLink, &wire::ServerLink::MessageArrived, this, [this, aLink](const auto& aPayload) {
+      ServeCall(aLink, aPayload);
     });
   });
 }
@@ -99,6 +57,26 @@
   server_.Listen(aEndpoint);
 }
 
+void
+PeerLinks::ServeCall(wire::ServerLink* aLink, const std::string& aPayload)
+{
+  Envelope call;
+  try {
+    call = UnpackEnvelope(aPayload);
+  } catch (const wire::WireError& error) {
+    log::Warn("peers", "event=caller-dropped error=", error.what());
+    aLink->Close();
+    return;
+  }
+  const QPointer<wire::ServerLink> link(aLink);
+  const auto reply = [link, number = call.number_](const std::string& aBody) {
+    if (link) {
+      link->Send(Pack({ number, 0, aBody }));
+    }
+  };
+  handler_(static_cast<PeerMethod>(call.method_), call.body_, reply);
+}
+
 PeerLinks::Peer&
 PeerLinks::PeerAt(const settings::Endpoint& aEndpoint)
 {
@@ -162,12 +140,9 @@
   aPeer.unparsed_ += aPeer.socket_->readAll();
   try {
     while (const auto payload = wire::TakeFrame(aPeer.unparsed_)) {
-      const auto answer = Unpack(*payload);
-      if (!answer) {
-        continue;
-      }
-      if (auto call = aPeer.calls_.extract(answer->number_); !call.empty()) {
-        call.mapped().done_({ CallFailure::kNone, answer->body_ });
+      const Envelope answer = UnpackEnvelope(*payload);
+      if (auto call = aPeer.calls_.extract(answer.number_); !call.empty()) {
+        call.mapped().done_({ CallFailure::kNone, answer.body_ });
       }
     }
   } catch (const wire::WireError& error) {
--- a/src/wire/Link.cpp
+++ b/src/wire/Link.cpp
@@ -55,6 +55,13 @@
   socket_->write(MakeFrame(aPayload));
 }
 
+void
+ServerLink::Close()
+{
+  readBuffer_.clear();
+  socket_->abort();
+}
+
 void
 ServerLink::Read()
 {
