A call that expires before it was sent ends as not sent

Callers: a submission whose owner could not be reached within the call's timeout was taken for one of unknown outcome, and was retried or answered 504, although no other host can have executed it. Its frame was sent all the same if the connection came about for a later call.

Cause: PeerLinks::ExpireCalls ended every expired call as kNoAnswer and kept its frame among those to send once connected.

Evidence, on the code before the change: Peer_CannotBeReached_CallsEndAsNotSentInBoundedTime: check brief.failure_ == CallFailure::kNotSent has failed

Change: unsent frames are kept by call; an expired call takes its frame with it, and ends as kNotSent while there is no connection.

After: the test passes, with a listener whose backlog is full.

--- a/src/node/PeerLinks.cpp
+++ b/src/node/PeerLinks.cpp
@@ -30,7 +30,7 @@
 
   QTcpSocket* socket_ = nullptr;
   QByteArray unparsed_;
-  QByteArray unsent_; ///< Frames to send once connected.
+  std::map<std::int64_t, QByteArray> unsent_; ///< Frames to send once connected, by call.
   std::map<std::int64_t, PendingCall> calls_;
   bool connected_ = false;
   clock::Moment connectStartedAt_{};
@@ -99,7 +99,9 @@
                  &timeoutMs,
                  sizeof(timeoutMs));
     peer.connected_ = true;
-    socket->write(peer.unsent_);
+    for (const auto& [number, frame] : peer.unsent_) {
+      socket->write(frame);
+    }
     peer.unsent_.clear();
   });
   connect(socket, &QTcpSocket::readyRead, this, [this, &peer] { OnBytes(peer); });
@@ -124,7 +126,7 @@
   if (peer.connected_) {
     peer.socket_->write(frame);
   } else {
-    peer.unsent_ += frame;
+    peer.unsent_[number] = frame;
   }
   if (!timer_.isActive()) {
     timer_.start(kExpiryCheckInterval);
@@ -185,12 +187,14 @@
       continue;
     }
     std::vector<CallResultHandler> expired;
+    const CallFailure failure = peer->connected_ ? CallFailure::kNoAnswer : CallFailure::kNotSent;
     for (auto call = peer->calls_.begin(); call != peer->calls_.end();) {
       if (call->second.expiresAt_ > now) {
         ++call;
         continue;
       }
       expired.push_back(std::move(call->second.done_));
+      peer->unsent_.erase(call->first);
       call = peer->calls_.erase(call);
     }
     if (!expired.empty()) {
@@ -205,7 +209,7 @@
       DropConnection(*peer);
     }
     for (const CallResultHandler& done : expired) {
-      done({ CallFailure::kNoAnswer, {} });
+      done({ failure, {} });
     }
     waiting = waiting || !peer->calls_.empty();
   }
--- a/tests/unit/PeerLinksTest.cpp
+++ b/tests/unit/PeerLinksTest.cpp
@@ -7,9 +7,14 @@
 #include <QtCore/QElapsedTimer>
 #include <QtNetwork/QTcpServer>
 #include <QtNetwork/QTcpSocket>
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <msgpack.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <tuple>
+#include <unistd.h>
 
 namespace {
 
@@ -141,6 +146,44 @@
   std::vector<std::unique_ptr<Connection>> connections_;
 };
 
+/** A port of this host that is bound, but accepts no connection. */
+class UnreachablePeer
+{
+public:
+  UnreachablePeer()
+    : listener_(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    address_.sin_family = AF_INET;
+    address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address_);
+    auto* address = reinterpret_cast<sockaddr*>(&address_);
+    BOOST_REQUIRE(::bind(listener_, address, length) == 0);
+    BOOST_REQUIRE(::listen(listener_, 0) == 0);
+    BOOST_REQUIRE(::getsockname(listener_, address, &length) == 0);
+    // Connections that nobody accepts fill the backlog.
+    for (int& descriptor : backlog_) {
+      descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      std::ignore = ::connect(descriptor, address, length);
+    }
+  }
+  ~UnreachablePeer()
+  {
+    for (const int descriptor : backlog_) {
+      ::close(descriptor);
+    }
+    ::close(listener_);
+  }
+  UnreachablePeer(const UnreachablePeer&) = delete;
+  UnreachablePeer& operator=(const UnreachablePeer&) = delete;
+
+  settings::Endpoint Endpoint() const { return { "127.0.0.1", ntohs(address_.sin_port) }; }
+
+private:
+  sockaddr_in address_{};
+  int listener_;
+  std::array<int, 4> backlog_{};
+};
+
 /** How one call ended. */
 struct Result
 {
@@ -196,6 +239,18 @@
   BOOST_CHECK(refused.at_ - start < 500ms);
 }
 
+BOOST_AUTO_TEST_CASE(Peer_CannotBeReached_CallsEndAsNotSentInBoundedTime)
+{
+  const UnreachablePeer peer;
+  const clock::Moment start = clock::Now();
+  const Result& brief = Call(peer.Endpoint(), "brief", 200ms);
+  const Result& patient = Call(peer.Endpoint(), "patient", 5s);
+  BOOST_REQUIRE(WaitFor(patient));
+  BOOST_CHECK(brief.failure_ == CallFailure::kNotSent);
+  BOOST_CHECK(patient.failure_ == CallFailure::kNotSent);
+  BOOST_CHECK(patient.at_ - start < 1'500ms);
+}
+
 BOOST_AUTO_TEST_CASE(Connection_ClosedByThePeer_SentCallsEndAtOnceAsNoAnswer)
 {
   FakePeer peer;
