A stopping entry host also gives up the fleet, with the orders of earlier owners

The fleet's key was left out of the release of cells that a stopping process does not serve: a claim of the fleet whose answer was lost or late, or a release that the store refused once, left the fleet to a process that was ending. A claim that was won during the stop wrote an empty hand-over over that of earlier owners if the store was slow, and then the next owner waits the whole time between two owners' orders.

Change: what is released follows from what the watch shows as owned by this incarnation, whatever the configuration says by now; the fleet's hand-over is kept until its release succeeds, is written only once that of the owner before has been read, and a claim that was not sent yet is abandoned. The fleet has no jobs, so its claim reads none.

--- a/include/quetzal/node/CellClaim.h
+++ b/include/quetzal/node/CellClaim.h
@@ -36,6 +36,9 @@
 
   void Start();
 
+  /** Returns whether the store may have carried the claim out. */
+  bool IsSent() const { return sent_; }
+
 Q_SIGNALS:
   void Won(const quetzal::node::ClaimedCell& aCell);
   void Failed();
@@ -52,6 +55,7 @@
   std::int64_t lease_;
   std::int64_t expectedRevision_;
   int attempts_ = 0;
+  bool sent_ = false;
   ClaimedCell claimed_;
 };
 
--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -62,6 +62,9 @@
    * Stop(). */
   jobs::FleetHandOver HandOver() const;
 
+  /** Returns whether it is known if the owner before this one handed the fleet over. */
+  bool HasReadHandOver() const { return handOverRead_; }
+
 private:
   struct ServiceReport
   {
@@ -115,7 +118,8 @@
   std::map<std::string, clock::Moment> busySince_;
   std::set<std::string> cordoned_;
   std::set<std::string> evict_;
-  std::map<std::string, std::int64_t> lastOrderMs_;        ///< Unix milliseconds, by host.
+  std::map<std::string, std::int64_t> lastOrderMs_; ///< Unix milliseconds, by host.
+  bool handOverRead_ = false;
   std::optional<jobs::FleetHandOver> predecessorHandOver_; ///< Set if the fleet was handed over.
   fleet::OrderBudget orderBudget_;
 };
--- a/include/quetzal/node/Membership.h
+++ b/include/quetzal/node/Membership.h
@@ -67,6 +67,9 @@
   /** Returns the revision of a cell's key; 0 if the key does not exist. */
   std::int64_t CellRevision(const std::string& aCell) const;
 
+  /** Returns the cells that this incarnation of the process owns. */
+  std::vector<std::string> OwnCells() const;
+
   /** Returns how many cells each host owns. */
   std::map<std::string, int> CellCounts() const;
 
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -37,8 +37,8 @@
   /** @throws http::ListenError. */
   void Start();
 
-  /** Hands over every cell, then emits HandedOver(). Every request is answered before the process
-   * ends. */
+  /** Hands over every cell, then emits HandedOver(). The requests that are open when the time for
+   * the last answer comes are answered then. */
   void Stop();
 
   void Handle(const JobRequest& aRequest, cells::AnswerCallback aDone) override;
@@ -50,6 +50,7 @@
    * answer or still receives one. */
   bool MayExit(bool aIsIdle) const;
 
+  /** Returns how many cells this process is claiming. */
   std::size_t ClaimsInFlight() const { return claims_.size(); }
 
   /** Callers' requests without an answer. */
@@ -100,7 +101,9 @@
   void ReleaseDrainedCells();
   void ContinueHandOver();
   void AbandonClaim(const std::string& aCell);
-  void ReleaseAbandonedCells();
+  void AbandonClaims();
+  void ReleaseUnservedCells();
+  void HandOverFleet();
   void Release(const std::string& aKey,
                std::int64_t aRevision,
                const std::vector<store::Write>& aPuts = {});
@@ -118,6 +121,7 @@
   std::optional<clock::Moment> unbalancedSince_;
   FleetManager* fleet_ = nullptr;
   std::int64_t fleetKeyRevision_ = 0;
+  std::vector<store::Write> fleetHandOver_; ///< Written with the release of the fleet.
   QTimer periodicTimer_;
   clock::Moment startedAt_;
   process::StopSchedule stopSchedule_;
--- a/src/connection/Client.cpp
+++ b/src/connection/Client.cpp
@@ -29,6 +29,10 @@
     }
     Exchange exchange = std::move(waiting_.front());
     waiting_.pop_front();
+    if (exchange.expiresAt_ <= std::chrono::steady_clock::now()) {
+      exchange.callback_({ ExchangeError::kTimedOut, {}, false });
+      continue;
+    }
     StartExchange(*pooled, std::move(exchange));
   }
 }
--- a/src/node/CellClaim.cpp
+++ b/src/node/CellClaim.cpp
@@ -109,6 +109,7 @@
     const bool hasRoster = chain == chains.front();
     change.puts_.push_back({ chain, jobs::Encode(hasRoster ? self_ : ownerRecord), 0 });
   }
+  sent_ = true;
   const QPointer<CellClaim> self(this);
   store_.Commit(change, [self](const store::CommitResult& aResult) {
     if (!self) {
@@ -125,6 +126,10 @@
     }
     self->claimed_.fence_ = aResult.revision_;
     self->claimed_.keyRevision_ = aResult.revision_;
+    if (self->cell_ == kFleetCell) {
+      Q_EMIT self->Won(self->claimed_); // The fleet has no jobs.
+      return;
+    }
     self->ReadJobs();
   });
 }
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -91,6 +91,9 @@
   const QPointer<FleetManager> self(this);
   store_.Get(kFleetHandOverKey, [self](const store::ReadResult& aResult) {
     jobs::FleetHandOver record;
+    if (self) {
+      self->handOverRead_ = aResult.status_ == store::Status::kSucceeded;
+    }
     if (self && aResult.status_ == store::Status::kSucceeded && !aResult.items_.empty() &&
         jobs::Decode(aResult.items_.front().value_, record) &&
         record.fence_ == self->ownership_.predecessorFence_) {
--- a/src/node/Membership.cpp
+++ b/src/node/Membership.cpp
@@ -206,6 +206,18 @@
   return owner == owners_.end() ? 0 : owner->second.second;
 }
 
+std::vector<std::string>
+Membership::OwnCells() const
+{
+  std::vector<std::string> cells;
+  for (const auto& [cell, owner] : owners_) {
+    if (owner.first.owner_ == name_ && owner.first.incarnation_ == incarnation_) {
+      cells.push_back(cell);
+    }
+  }
+  return cells;
+}
+
 std::map<std::string, int>
 Membership::CellCounts() const
 {
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -15,6 +15,8 @@
 constexpr clock::Milliseconds kPeriodicInterval{ 120 };
 /** How long a cell that is being handed over may take to finish its pending writes. */
 constexpr clock::Milliseconds kHandOverTimeout{ 900 };
+/** How long a stopping owner of the fleet waits for the hand-over of the owner before it. */
+constexpr clock::Milliseconds kFleetHandOverTimeout{ 2'000 };
 constexpr clock::Milliseconds kReportTimeout{ 700 };
 /** New requests arrive until the readiness check has been seen to fail. */
 constexpr clock::Milliseconds kMinServingTimeDuringStop{ 3'200 };
@@ -58,7 +60,7 @@
     DropLostCells();
     ClaimCells();
     if (stopping_) {
-      ReleaseAbandonedCells();
+      ReleaseUnservedCells();
     }
   });
   connect(&membership_, &Membership::LeaseLost, this, &NodeProcess::DropAll);
@@ -400,8 +402,9 @@
               aRequest.timeout_,
               [this, aRequest, aDone, sentAt](const CallResult& aResult) {
                 JobReply reply;
-                const bool answered = aResult.failure_ == CallFailure::kNone &&
-                                      jobs::Decode(aResult.body_, reply) && reply.owned_;
+                const bool hasReply = aResult.failure_ == CallFailure::kNone;
+                const bool isReadable = hasReply && jobs::Decode(aResult.body_, reply);
+                const bool answered = isReadable && reply.owned_;
                 if (answered && FromReply(reply).status_ != cells::AnswerStatus::kUnknownOutcome) {
                   aDone(FromReply(reply));
                   return;
@@ -414,6 +417,7 @@
                 retry.timeout_ -= std::chrono::duration_cast<clock::Milliseconds>(Now() - sentAt) +
                                   kRequestRetryDelay;
                 retry.outcomeUnknown_ = aRequest.outcomeUnknown_ || answered ||
+                                        hasReply != isReadable ||
                                         aResult.failure_ == CallFailure::kNoAnswer;
                 RetryRequest(retry, aDone);
               });
@@ -568,12 +572,7 @@
     stopSchedule_.lastAnswer_, Qt::PreciseTimer, &requests_, &OpenRequests::AnswerAll);
   log::Info("node", "event=stop cells=", cells_.size(), " fleet=", fleet_ != nullptr);
   membership_.AnnounceStop();
-  for (const std::string& cell : ConfiguredCells()) {
-    // The fleet is claimed to the end: its hand-over names the predecessor's orders.
-    if (cell != kFleetCell) {
-      AbandonClaim(cell);
-    }
-  }
+  AbandonClaims();
   for (const auto& [name, owned] : cells_) {
     StartHandOver(name);
   }
@@ -589,22 +588,54 @@
   }
 }
 
-/** Releases the cells that this process owns and does not serve, because it abandoned their claims
- * after the store had carried them out. */
+/** Abandons the claims of a process that stops, but not a claim of the fleet that the store may
+ * have carried out: the next owner learns the orders of earlier owners only from a hand-over. */
 void
-NodeProcess::ReleaseAbandonedCells()
+NodeProcess::AbandonClaims()
 {
-  for (const std::string& cell : ConfiguredCells()) {
-    const auto owner = membership_.OwnerOf(cell);
-    const bool isOurs =
-      owner && owner->owner_ == settings_.name_ && owner->incarnation_ == membership_.Incarnation();
-    const bool isInUse = cell == kFleetCell || cells_.contains(cell);
-    if (isOurs && !isInUse && !releasing_.contains(CellKey(cell))) {
-      Release(CellKey(cell), membership_.CellRevision(cell));
+  std::vector<std::string> abandoned;
+  for (const auto& [cell, claim] : claims_) {
+    if (cell != kFleetCell || !claim->IsSent()) {
+      abandoned.push_back(cell);
+    }
+  }
+  for (const std::string& cell : abandoned) {
+    AbandonClaim(cell);
+  }
+}
+
+/** Releases the cells that this process owns and does not serve: the store carried out their claim
+ * after it was abandoned, or did not carry out their release. */
+void
+NodeProcess::ReleaseUnservedCells()
+{
+  for (const std::string& cell : membership_.OwnCells()) {
+    const bool isFleetInUse = cell == kFleetCell && fleet_ != nullptr;
+    if (isFleetInUse || cells_.contains(cell) || claims_.contains(cell) ||
+        releasing_.contains(CellKey(cell))) {
+      continue;
     }
+    Release(CellKey(cell),
+            membership_.CellRevision(cell),
+            cell == kFleetCell ? fleetHandOver_ : std::vector<store::Write>());
   }
 }
 
+void
+NodeProcess::HandOverFleet()
+{
+  if (fleet_ == nullptr) {
+    return;
+  }
+  fleet_->Stop();
+  if (!fleet_->HasReadHandOver() && SinceStop() < kFleetHandOverTimeout) {
+    return;
+  }
+  fleetHandOver_ = { { kFleetHandOverKey, jobs::Encode(fleet_->HandOver()), 0 } };
+  Release(CellKey(kFleetCell), fleetKeyRevision_, fleetHandOver_);
+  StopFleetManager();
+}
+
 clock::Milliseconds
 NodeProcess::SinceStop() const
 {
@@ -680,15 +711,9 @@
 void
 NodeProcess::ContinueHandOver()
 {
-  if (fleet_ != nullptr) {
-    fleet_->Stop();
-    Release(CellKey(kFleetCell),
-            fleetKeyRevision_,
-            { { kFleetHandOverKey, jobs::Encode(fleet_->HandOver()), 0 } });
-    StopFleetManager();
-  }
+  HandOverFleet();
   ReleaseDrainedCells();
-  ReleaseAbandonedCells();
+  ReleaseUnservedCells();
   if (cells_.empty() && !handedOver_) {
     handedOver_ = true;
     Q_EMIT HandedOver();
--- a/tests/unit/NodeProcessTest.cpp
+++ b/tests/unit/NodeProcessTest.cpp
@@ -1,4 +1,5 @@
 #include "include/quetzal/node/NodeProcess.h"
+#include "include/quetzal/clock/Now.h"
 
 #include "src/node/Messages.h"
 #include "tests/unit/FakeWorkers.h"
@@ -62,9 +63,10 @@
     process_->Start();
   }
 
-  /** Lets the store answer, one call at a time, until a condition holds. */
+  /** Lets the store answer, one call in each @p aAnswerTime, until a condition holds. */
   bool AnswerUntil(const std::function<bool()>& aCondition,
-                   std::chrono::milliseconds aTimeout = 5'000ms)
+                   std::chrono::milliseconds aTimeout = 5'000ms,
+                   std::chrono::milliseconds aAnswerTime = 0ms)
   {
     QElapsedTimer timer;
     timer.start();
@@ -72,13 +74,29 @@
       if (timer.elapsed() > aTimeout.count()) {
         return false;
       }
-      QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+      QElapsedTimer answerTimer;
+      answerTimer.start();
+      do {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+      } while (answerTimer.elapsed() < aAnswerTime.count());
       store_.AnswerNext();
     }
     return true;
   }
 
-  bool IsOwned() const { return store_.RevisionOf(node::CellKey("svc")) != 0; }
+  bool IsOwned() const { return store_.RevisionOf(CellKey("svc")) != 0; }
+  bool IsFleetOwned() const { return store_.RevisionOf(CellKey(kFleetCell)) != 0; }
+
+  /** Injects a fault into the claims of both cells, and stops the process once they are sent. */
+  void StopWithClaims(CommitFault aFault)
+  {
+    BOOST_TEST_REQUIRE(AnswerUntil([this] { return process_->ClaimsInFlight() > 1; }));
+    const std::size_t commits = store_.CommitCount();
+    store_.InjectFault(aFault);
+    store_.InjectFault(aFault);
+    BOOST_TEST_REQUIRE(AnswerUntil([&] { return store_.CommitCount() >= commits + 2; }));
+    process_->Stop();
+  }
 
   MemoryStore store_;
   FakePlatformState platformState_;
@@ -105,6 +123,57 @@
   BOOST_TEST(!IsOwned());
 }
 
+BOOST_AUTO_TEST_CASE(Stop_ClaimsAreCarriedOutWithoutAnAnswer_ReleasesTheCells)
+{
+  StopWithClaims(CommitFault::kAnswerLost);
+  BOOST_TEST(!AnswerUntil([] { return false; }, 1'000ms));
+  BOOST_TEST(!IsOwned());
+  BOOST_TEST(!IsFleetOwned());
+}
+
+BOOST_AUTO_TEST_CASE(Stop_ClaimsAreCarriedOutLate_ReleasesTheCells)
+{
+  StopWithClaims(CommitFault::kDelayed);
+  BOOST_TEST(!AnswerUntil([] { return false; }, 600ms));
+  store_.ApplyDelayed();
+  BOOST_TEST(AnswerUntil([this] { return !IsOwned() && !IsFleetOwned(); }, 1'000ms));
+}
+
+BOOST_AUTO_TEST_CASE(Stop_ReleasesAreRefused_AreRepeated)
+{
+  BOOST_TEST_REQUIRE(AnswerUntil([this] { return IsOwned() && process_->ClaimsInFlight() == 0; }));
+  for (int i = 0; i < 4; ++i) {
+    store_.InjectFault(CommitFault::kRefused);
+  }
+  process_->Stop();
+  BOOST_TEST(AnswerUntil([this] { return !IsOwned() && !IsFleetOwned(); }, 2'000ms));
+}
+
+BOOST_AUTO_TEST_CASE(Stop_ServiceHasLeftTheConfiguration_ReleasesItsCell)
+{
+  BOOST_TEST_REQUIRE(AnswerUntil([this] { return IsOwned(); }));
+  platformState_.configuration_.services_.clear();
+  process_->Stop();
+  BOOST_TEST(AnswerUntil([this] { return !IsOwned(); }, 2'000ms));
+}
+
+BOOST_AUTO_TEST_CASE(Stop_FleetWasClaimedOnASlowStore_KeepsTheOrdersOfEarlierOwners)
+{
+  jobs::OwnerRecord earlier;
+  earlier.owner_ = "z";
+  const std::string chain = cells::WriteChainKeys(kFleetCell).front();
+  const std::int64_t fence = store_.Put(chain, jobs::Encode(earlier));
+  const jobs::FleetHandOver record{ fence, { { "h1", clock::UnixMs() } } };
+  store_.Put(kFleetHandOverKey, jobs::Encode(record));
+  BOOST_TEST_REQUIRE(AnswerUntil([this] { return IsFleetOwned(); }));
+  process_->Stop();
+  BOOST_TEST(AnswerUntil([this] { return !IsFleetOwned(); }, 12'000ms, 150ms));
+  jobs::FleetHandOver after;
+  BOOST_TEST_REQUIRE(jobs::Decode(store_.Items().at(kFleetHandOverKey).value_, after));
+  BOOST_TEST(after.fence_ == store_.RevisionOf(chain));
+  BOOST_TEST(after.lastOrderMs_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(Stop_CellIsOwned_ReleasesTheCellAtOnce)
 {
   BOOST_TEST_REQUIRE(AnswerUntil([this] { return IsOwned() && process_->ClaimsInFlight() == 0; }));
