Hosts in maintenance are not counted as surplus

What callers saw: nothing that a run shows by itself; found by reading, while looking for other plans that take a share of a pool without counting the waves' share.

Cause: PlanMoves counted hosts in maintenance towards a pool's target and then took its surplus from the hosts that were up. A pool with as many hosts in maintenance as it needs could lose all others that were idle.

Evidence, failing before: Pool_HostsInMaintenance_AreNotSurplus: check Plan().cordoned_.size() == 1U has failed [3 != 1]

Change: the surplus is what is left of it without the hosts in maintenance.

The unit tests passed in one of two whole runs: Overload/TwiceAsManyJobsAsRoom_OrderLearnsHowLongJobsTake_ServesMoreInTime ended once with std::bad_alloc, and passed in five runs after that; it uses nothing of fleet/.

--- a/src/fleet/Planner.cpp
+++ b/src/fleet/Planner.cpp
@@ -97,6 +97,17 @@
     }));
 }
 
+/** Returns how many hosts a pool has beyond its target. Hosts in maintenance are not surplus: until
+ * they are back, the pool needs the others. */
+int
+CountSurplus(const FleetView& aView, const std::string& aPool, int aBeyondTarget)
+{
+  const auto down = std::count_if(aView.hosts_.begin(), aView.hosts_.end(), [&](const Host& aHost) {
+    return aHost.pool_ == aPool && aHost.state_ == HostState::kMaintenance;
+  });
+  return std::max(aBeyondTarget - static_cast<int>(down), 0);
+}
+
 /** The hosts that a pool lacks. */
 struct Shortage
 {
@@ -158,7 +169,7 @@
       shortages[pool] = { std::min(forWaiting, difference), difference };
       totalShortage += difference;
     } else if (difference < 0 && aView.pools_.at(pool).fresh_) {
-      surplus[pool] = -difference;
+      surplus[pool] = CountSurplus(aView, pool, -difference);
     }
   }
   std::vector<const Host*> standbyHosts;
--- a/tests/unit/PlannerTest.cpp
+++ b/tests/unit/PlannerTest.cpp
@@ -392,6 +392,19 @@
   BOOST_TEST(Plan().maintenance_.front().wave_ == 2);
 }
 
+// Moves took the hosts that were left while others of the pool were in maintenance.
+BOOST_AUTO_TEST_CASE(Pool_HostsInMaintenance_AreNotSurplus)
+{
+  AddSixHostsWithLongRunningTasks();
+  for (const char* name : { "4", "5", "6" }) {
+    Load(name, "a") = {};
+  }
+  for (const std::size_t i : { 0U, 1U }) {
+    view_.hosts_[i].state_ = HostState::kMaintenance;
+  }
+  BOOST_TEST(Plan().cordoned_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(Forecast_RisingArrivals_ExceedsTheCurrentRate)
 {
   const std::deque<Arrival> rising{ { now_ - 900ms, 10 }, { now_ - 100ms, 30 } };
