A cell starts tasks in slices, and no more than it can send

What callers saw: 504 after 3 s ("outcome unknown") and waits at a host of 0.12 cores that had just got the widest cell.

Calls, polls and connections wait meanwhile. The orders themselves wait in the owner: those not written within 0.9 s end as "unhealthy" (WorkerClient StatusOf: error and nothing written), their workers get no starts for 0.7 s, and the tasks are ordered again.

Change: a round makes at most 128 starts and then returns to the event loop; the next round takes up the rest in the same order of jobs. At most 512 start orders of a cell are unanswered (cells/StartWindow); an order without an answer for 0.5 s no longer counts, so silent workers do not hold back the others. Gangs are still started whole. Worker says when a start order is answered.

Evidence before: PlacementRound on the code as it was: 600 and 480 starts between two other events, with a limit of 100 in the test. The tests about answers need the new signal and were not run on the old code. After: StartWindowRoom and PlacementRound pass.

Tried and left: 48 starts a round and a window of 128.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/quetzal/cells/PlacementTickets.h"
+#include "include/quetzal/cells/StartWindow.h"
 #include "include/quetzal/cells/Worker.h"
 #include "include/quetzal/cells/WriteChains.h"
 #include "include/quetzal/fleet/Forecast.h"
@@ -190,6 +191,9 @@
 
   void SchedulePlacement();
   void PlaceTasks();
+  void OnStartAnswered(std::int64_t aRun);
+  /** Ends a placement round that has no starts left; the rest waits for answers to start orders. */
+  void EndRound();
   std::vector<WaitingJob> WaitingJobs(clock::Moment aNow) const;
   std::vector<placement::Candidate> Candidates(std::vector<WorkerEntry*>& aEntries) const;
   bool PlaceJob(jobs::Job& aJob,
@@ -262,6 +266,9 @@
   /** Called once the end of a job is stored, by job. */
   std::map<std::string, std::vector<std::function<void()>>> endWaiters_;
   PlacementTickets tickets_;
+  StartWindow startWindow_;
+  int startsLeft_ = 0;           ///< Starts that the current placement round may still make.
+  bool waitsForAnswers_ = false; ///< The last round left tasks for which there were no starts left.
   std::set<std::string> cordoned_;
   /** Tasks to be evicted for which no other worker has room, counted since the last call of
    * CordonWorkers. */
--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -113,6 +113,8 @@
                 quetzal::jobs::EndKind aKind,
                 const std::string& aCheckpoint,
                 qint64 aNumber);
+  /** A start order has been answered or has failed. */
+  void StartAnswered(qint64 aRun);
   /** A run that was ordered has not started and never will. */
   void StartFailed(const quetzal::jobs::TaskId& aTask,
                    qint64 aRun,
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -206,6 +206,7 @@
               OnRunEnded(entry->second, aTask, aRun, aKind, aCheckpoint, aNumber);
             }
           });
+  connect(worker, &Worker::StartAnswered, this, &Cell::OnStartAnswered);
   connect(worker, &Worker::StartFailed, this, &Cell::OnStartFailed);
   connect(worker, &Worker::UnknownRunFound, this, [this, id](const workers::RunningTask& aTask) {
     if (const auto entry = workers_.find(id); entry != workers_.end()) {
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -17,6 +17,8 @@
 constexpr clock::Milliseconds kPlacementDelay{ 8 };
 /** A placement round ends after more than this many jobs in a row that could not be placed. */
 constexpr int kMaxUnplacedJobs = 24;
+/** Starts of one placement round, after which the event loop serves callers and polls. */
+constexpr int kMaxStartsPerRound = 128;
 constexpr double kHighFailureScore = 0.65;
 
 std::string_view
@@ -127,6 +129,12 @@
     return;
   }
   const clock::Moment now = Now();
+  startsLeft_ = std::min(kMaxStartsPerRound, FreeStarts(startWindow_, now));
+  waitsForAnswers_ = false;
+  if (startsLeft_ == 0) {
+    EndRound();
+    return;
+  }
   std::vector<WorkerEntry*> entries;
   std::vector<placement::Candidate> candidates = Candidates(entries);
   if (candidates.empty()) {
@@ -145,6 +153,10 @@
     waiting.pop_back();
     unplaced = PlaceJob(job, candidates, entries, now) ? 0 : unplaced + 1;
     jobs_.Update(job);
+    if (startsLeft_ <= 0) {
+      EndRound();
+      return;
+    }
     if (unplaced > kMaxUnplacedJobs) {
       return;
     }
@@ -152,6 +164,27 @@
   PlaceCopies(candidates, entries, now);
 }
 
+void
+Cell::EndRound()
+{
+  if (FreeStarts(startWindow_, Now()) > 0) {
+    SchedulePlacement();
+    return;
+  }
+  waitsForAnswers_ = true;
+  placementTimer_.start(kMaxCountedStartAge);
+}
+
+void
+Cell::OnStartAnswered(std::int64_t aRun)
+{
+  RemoveStart(startWindow_, aRun);
+  if (waitsForAnswers_ && !handingOver_) {
+    waitsForAnswers_ = false;
+    placementTimer_.start(kPlacementDelay);
+  }
+}
+
 bool
 Cell::PlaceJob(jobs::Job& aJob,
                std::vector<placement::Candidate>& aCandidates,
@@ -205,6 +238,9 @@
     if (task.phase_ != jobs::TaskPhase::kWaiting || task.notBefore_ > aNow) {
       continue;
     }
+    if (startsLeft_ <= 0) {
+      break;
+    }
     chosen = placement::ChooseNextWorker(spec, aCandidates, use, chosen);
     if (!chosen) {
       break;
@@ -234,7 +270,7 @@
   const bool ready = std::all_of(tasks.begin(), tasks.end(), [aNow](const jobs::TaskState& aTask) {
     return aTask.phase_ == jobs::TaskPhase::kWaiting && aTask.notBefore_ <= aNow;
   });
-  if (!ready) {
+  if (!ready || startsLeft_ <= 0) {
     return false;
   }
   const std::vector<std::size_t> chosen = placement::ChooseGang(spec, aCandidates);
@@ -274,6 +310,8 @@
     " free_cpu=",
     workers::FreeCapacity(aEntry.worker_->State(), aEntry.worker_->Registration().capacity_).cpu_);
   context_.metrics_->Add("quetzal_starts_total", { { "service", service_ } });
+  AddStart(startWindow_, aRun, Now());
+  --startsLeft_;
   aEntry.worker_->Start(order, placement::MakeRun(spec, aRun, workers::RunState::kOrdered, Now()));
 }
 
@@ -416,6 +454,7 @@
     context_.metrics_->Add("quetzal_copies_total", { { "service", service_ } });
     const workers::StartOrder order = OrderFor(aJob, id, run, worker);
     jobs::PlaceCopy(aJob, id, worker, run, aNow);
+    AddStart(startWindow_, run, aNow);
     entry.worker_->Start(order, placement::MakeRun(spec, run, workers::RunState::kOrdered, Now()));
   }
 }
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -82,6 +82,7 @@
   const jobs::TaskId task = aOrder.task_;
   const std::int64_t run = aOrder.run_;
   port_->Start(order, [this, task, run](const workers::OrderReply& aReply) {
+    Q_EMIT StartAnswered(run);
     OnStartReply(task, run, aReply);
   });
   if (state_.runs_.size() == 1) {
