A call that expires leaves the other calls on its connection

Callers: requests that waited at an owner which was a little behind lost their answers, and were sent again 150 ms later, whenever one request to the same owner reached its timeout.

Cause: PeerLinks::ExpireCalls dropped the whole connection when one call timed out, because the connection might have gone silent; all other calls in flight ended as kNoAnswer.

Evidence, on the code before the change: Calls_OneExpires_OthersOnItsConnectionGetTheirAnswers: check first.count_ == 0 has failed [1 != 0], first.body_ has failed [ != answer to first] Answer_ArrivesAfterItsCallExpired_IsIgnored: the next call did not use the connection Connection_CarriesNothingWhileANewOneDoes_IsReplacedInBoundedTime and Peer_AnswersNothingOnAnyConnection_CallsEndInBoundedTime: calls with 20 s to wait had not ended after 8 s

Change: whether a connection is silent is judged by the bytes that arrive on it while an answer is due (LinkHealth, free functions). After 300 ms a ping is sent; after 1 s a second connection is opened, which takes new calls, and is pinged. If the host answers there, the first is closed as silent; otherwise the host is stalled, and the calls on both connections can still be answered. After 4 s without a byte a connection is closed in any case. PeerConnection is one connection and its calls; PeerLinks chooses one.

A ping is method 3 with an empty array as its body.

Log: event=call-timeout peer= calls=, without dropped=; new are event=connection-suspect peer= and event=connection-silent peer= calls=.

--- a/include/quetzal/node/PeerLinks.h
+++ b/include/quetzal/node/PeerLinks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/quetzal/clock/Time.h"
+#include "include/quetzal/node/PeerCall.h"
 #include "include/quetzal/settings/Node.h"
 #include "include/quetzal/wire/Link.h"
 
@@ -8,36 +9,19 @@
 #include <QtCore/QTimer>
 #include <functional>
 #include <map>
-#include <optional>
+#include <vector>
 
 namespace quetzal::node {
 
-/** The calls between entry hosts; sent as a number. */
-enum class PeerMethod : int
-{
-  kJob = 1,    ///< A caller's request, for the owner of a cell.
-  kReport = 2, ///< A cell's report, for the owner of the fleet.
-};
-
-enum class CallFailure : std::uint8_t
-{
-  kNone,
-  kNotSent,  ///< The call was not sent to the other host.
-  kNoAnswer, ///< The other host may have executed the call.
-};
-
-struct CallResult
-{
-  CallFailure failure_ = CallFailure::kNoAnswer;
-  std::string body_;
-};
+class PeerConnection;
 
-using CallResultHandler = std::function<void(const CallResult&)>;
 /** Handles an incoming call; the reply may be sent later. */
 using IncomingCallHandler =
   std::function<void(PeerMethod, const std::string&, std::function<void(const std::string&)>)>;
 
-/** Calls between entry hosts, over one connection to each host that is opened on first use. */
+/** Calls between entry hosts, over one connection to each host that is opened on first use. A
+ * connection on which nothing arrives is replaced; until it is closed, the calls sent on it can
+ * still be answered. */
 class PeerLinks : public QObject
 {
   Q_OBJECT
@@ -49,6 +33,7 @@
   /** Listens for calls from other hosts. @throws http::ListenError. */
   void Serve(const settings::Endpoint& aEndpoint, IncomingCallHandler aHandler);
 
+  /** Sends a call. @param aDone is called once, and not before this function has returned. */
   void Call(const settings::Endpoint& aPeer,
             PeerMethod aMethod,
             const std::string& aBody,
@@ -56,19 +41,22 @@
             CallResultHandler aDone);
 
 private:
-  struct Peer;
+  /** The connections to one host, oldest first. The newest takes new calls. */
+  using Connections = std::vector<PeerConnection*>;
 
   void ServeCall(wire::ServerLink* aLink, const std::string& aPayload);
-  Peer& PeerAt(const settings::Endpoint& aEndpoint);
-  void OnBytes(Peer& aPeer);
-  void DropConnection(Peer& aPeer);
-  void ExpireCalls();
+  PeerConnection& ConnectionTo(const settings::Endpoint& aPeer);
+  PeerConnection& Open(const settings::Endpoint& aPeer);
+  void CheckAll();
+  void CheckPeer(const settings::Endpoint& aPeer, clock::Milliseconds aElapsed);
+  void Replace(const settings::Endpoint& aPeer);
 
-  std::map<settings::Endpoint, std::unique_ptr<Peer>> peers_;
+  std::map<settings::Endpoint, Connections> peers_;
   wire::LinkServer server_;
   IncomingCallHandler handler_;
-  std::int64_t nextCall_ = 1;
+  std::int64_t nextNumber_ = 1; ///< Of the next call or ping.
   QTimer timer_;
+  clock::Moment lastCheckAt_{};
 };
 
 } // namespace quetzal::node
--- a/src/node/Envelope.cpp
+++ b/src/node/Envelope.cpp
@@ -3,6 +3,12 @@
 #include "include/quetzal/wire/Frame.h"
 
 namespace quetzal::node {
+namespace {
+
+/** An empty array, which is a valid call of every method: fields that are missing are unset. */
+constexpr const char* kEmptyCall = "\x90";
+
+} // namespace
 
 std::string
 Pack(const Envelope& aEnvelope)
@@ -22,4 +28,10 @@
   }
 }
 
+Envelope
+MakePing(std::int64_t aNumber)
+{
+  return { aNumber, static_cast<int>(PeerMethod::kPing), kEmptyCall };
+}
+
 } // namespace quetzal::node
--- a/src/node/Envelope.h
+++ b/src/node/Envelope.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <cstdint>
+#include "include/quetzal/node/PeerCall.h"
+
 #include <msgpack.hpp>
-#include <string>
 
 namespace quetzal::node {
 
@@ -10,7 +10,7 @@
 struct Envelope
 {
   std::int64_t number_ = 0;
-  int method_ = 0; ///< 0 marks an answer.
+  int method_ = 0; ///< A PeerMethod, perhaps of another version of this program.
   std::string body_;
 
   MSGPACK_DEFINE_ARRAY(number_, method_, body_)
@@ -23,4 +23,8 @@
 Envelope
 UnpackEnvelope(const std::string& aPayload);
 
+/** Returns a ping. Versions without pings take it for a call about an unknown cell, and answer. */
+Envelope
+MakePing(std::int64_t aNumber);
+
 } // namespace quetzal::node
--- a/src/node/PeerLinks.cpp
+++ b/src/node/PeerLinks.cpp
@@ -1,46 +1,26 @@
 #include "include/quetzal/node/PeerLinks.h"
 
+#include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
 #include "include/quetzal/wire/Frame.h"
 #include "src/node/Envelope.h"
+#include "src/node/PeerConnection.h"
 
 #include <QtCore/QPointer>
-#include <QtNetwork/QHostAddress>
-#include <QtNetwork/QTcpSocket>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
+#include <algorithm>
 
 namespace quetzal::node {
 namespace {
 
-constexpr clock::Milliseconds kExpiryCheckInterval{ 100 };
-/** Time limit for connecting, and for sent bytes to be acknowledged by the other host. */
-constexpr clock::Milliseconds kConnectionTimeout{ 900 };
+constexpr clock::Milliseconds kCheckInterval{ 100 };
 
 } // namespace
 
-struct PeerLinks::Peer
-{
-  struct PendingCall
-  {
-    CallResultHandler done_;
-    clock::Moment expiresAt_;
-  };
-
-  QTcpSocket* socket_ = nullptr;
-  QByteArray unparsed_;
-  std::map<std::int64_t, QByteArray> unsent_; ///< Frames to send once connected, by call.
-  std::map<std::int64_t, PendingCall> calls_;
-  bool connected_ = false;
-  clock::Moment connectStartedAt_{};
-};
-
 PeerLinks::PeerLinks(QObject* aParent)
   : QObject(aParent)
   , server_(this)
 {
-  connect(&timer_, &QTimer::timeout, this, &PeerLinks::ExpireCalls);
+  connect(&timer_, &QTimer::timeout, this, &PeerLinks::CheckAll);
   connect(&server_, &wire::LinkServer::LinkArrived, this, [this](wire::ServerLink* aLink) {
     connect(aLink, &wire::ServerLink::MessageArrived, this, [this, aLink](const auto& aPayload) {
       ServeCall(aLink, aPayload);
@@ -50,6 +30,8 @@
 
 PeerLinks::~PeerLinks() = default;
 
+// --- Incoming calls ------------------------------------------------------------------------------
+
 void
 PeerLinks::Serve(const settings::Endpoint& aEndpoint, IncomingCallHandler aHandler)
 {
@@ -71,45 +53,36 @@
   const QPointer<wire::ServerLink> link(aLink);
   const auto reply = [link, number = call.number_](const std::string& aBody) {
     if (link) {
-      link->Send(Pack({ number, 0, aBody }));
+      link->Send(Pack({ number, static_cast<int>(PeerMethod::kAnswer), aBody }));
     }
   };
-  handler_(static_cast<PeerMethod>(call.method_), call.body_, reply);
+  const auto method = static_cast<PeerMethod>(call.method_);
+  if (method == PeerMethod::kPing) {
+    reply({});
+    return;
+  }
+  handler_(method, call.body_, reply);
 }
 
-PeerLinks::Peer&
-PeerLinks::PeerAt(const settings::Endpoint& aEndpoint)
+// --- Outgoing calls ------------------------------------------------------------------------------
+
+PeerConnection&
+PeerLinks::ConnectionTo(const settings::Endpoint& aPeer)
 {
-  std::unique_ptr<Peer>& entry = peers_[aEndpoint];
-  if (!entry) {
-    entry = std::make_unique<Peer>();
-  }
-  Peer& peer = *entry;
-  if (peer.socket_ != nullptr) {
-    return peer;
-  }
-  auto* socket = new QTcpSocket(this);
-  peer.socket_ = socket;
-  peer.connectStartedAt_ = std::chrono::steady_clock::now();
-  connect(socket, &QTcpSocket::connected, this, [&peer, socket] {
-    const auto timeoutMs = static_cast<unsigned>(kConnectionTimeout.count());
-    ::setsockopt(static_cast<int>(socket->socketDescriptor()),
-                 IPPROTO_TCP,
-                 TCP_USER_TIMEOUT,
-                 &timeoutMs,
-                 sizeof(timeoutMs));
-    peer.connected_ = true;
-    for (const auto& [number, frame] : peer.unsent_) {
-      socket->write(frame);
-    }
-    peer.unsent_.clear();
+  const Connections& connections = peers_[aPeer];
+  return connections.empty() ? Open(aPeer) : *connections.back();
+}
+
+PeerConnection&
+PeerLinks::Open(const settings::Endpoint& aPeer)
+{
+  auto* connection = new PeerConnection(aPeer, this);
+  peers_[aPeer].push_back(connection);
+  connect(connection, &PeerConnection::Closed, this, [this, aPeer, connection] {
+    std::erase(peers_[aPeer], connection);
+    connection->deleteLater();
   });
-  connect(socket, &QTcpSocket::readyRead, this, [this, &peer] { OnBytes(peer); });
-  connect(socket, &QTcpSocket::disconnected, this, [this, &peer] { DropConnection(peer); });
-  connect(socket, &QTcpSocket::errorOccurred, this, [this, &peer] { DropConnection(peer); });
-  socket->connectToHost(QHostAddress(QString::fromStdString(aEndpoint.address_)), aEndpoint.port_);
-  socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-  return peer;
+  return *connection;
 }
 
 void
@@ -119,103 +92,84 @@
                 clock::Milliseconds aTimeout,
                 CallResultHandler aDone)
 {
-  Peer& peer = PeerAt(aPeer);
-  const std::int64_t number = nextCall_++;
-  peer.calls_[number] = { std::move(aDone), std::chrono::steady_clock::now() + aTimeout };
+  const std::int64_t number = nextNumber_++;
   const QByteArray frame = wire::MakeFrame(Pack({ number, static_cast<int>(aMethod), aBody }));
-  if (peer.connected_) {
-    peer.socket_->write(frame);
-  } else {
-    peer.unsent_[number] = frame;
-  }
+  ConnectionTo(aPeer).Call(number, frame, clock::Now() + aTimeout, std::move(aDone));
   if (!timer_.isActive()) {
-    timer_.start(kExpiryCheckInterval);
+    lastCheckAt_ = clock::Now();
+    timer_.start(kCheckInterval);
   }
 }
 
-void
-PeerLinks::OnBytes(Peer& aPeer)
-{
-  if (aPeer.socket_ == nullptr) {
-    return;
-  }
-  aPeer.unparsed_ += aPeer.socket_->readAll();
-  try {
-    while (const auto payload = wire::TakeFrame(aPeer.unparsed_)) {
-      const Envelope answer = UnpackEnvelope(*payload);
-      if (auto call = aPeer.calls_.extract(answer.number_); !call.empty()) {
-        call.mapped().done_({ CallFailure::kNone, answer.body_ });
-      }
-    }
-  } catch (const wire::WireError& error) {
-    log::Warn("peers", "event=connection-dropped error=", error.what());
-    DropConnection(aPeer);
-  }
-}
+// --- Health --------------------------------------------------------------------------------------
 
 void
-PeerLinks::DropConnection(Peer& aPeer)
+PeerLinks::CheckAll()
 {
-  if (aPeer.socket_ == nullptr) {
-    return;
+  const clock::Moment now = clock::Now();
+  const auto elapsed = std::chrono::duration_cast<clock::Milliseconds>(now - lastCheckAt_);
+  lastCheckAt_ = now;
+  bool anyBusy = false;
+  // A call's handler may add a peer, which leaves iterators of a map valid.
+  for (const auto& [peer, connections] : peers_) {
+    CheckPeer(peer, elapsed);
+    anyBusy = anyBusy || std::any_of(connections.begin(), connections.end(), [](const auto* aLink) {
+                return !aLink->IsIdle();
+              });
   }
-  QTcpSocket* socket = aPeer.socket_;
-  aPeer.socket_ = nullptr;
-  socket->disconnect(this);
-  socket->abort();
-  socket->deleteLater();
-  const CallFailure failure = aPeer.connected_ ? CallFailure::kNoAnswer : CallFailure::kNotSent;
-  aPeer.connected_ = false;
-  aPeer.unparsed_.clear();
-  aPeer.unsent_.clear();
-  std::map<std::int64_t, Peer::PendingCall> calls;
-  calls.swap(aPeer.calls_);
-  for (const auto& [number, call] : calls) {
-    call.done_({ failure, {} });
+  if (!anyBusy) {
+    timer_.stop();
   }
 }
 
 void
-PeerLinks::ExpireCalls()
+PeerLinks::CheckPeer(const settings::Endpoint& aPeer, clock::Milliseconds aElapsed)
 {
-  const clock::Moment now = std::chrono::steady_clock::now();
-  bool waiting = false;
-  for (auto& [endpoint, peer] : peers_) {
-    if (peer->socket_ != nullptr && !peer->connected_ &&
-        now - peer->connectStartedAt_ > kConnectionTimeout) {
-      DropConnection(*peer);
+  const clock::Moment now = clock::Now();
+  // A copy, because a call's handler may open or close connections.
+  const Connections connections = peers_[aPeer];
+  for (PeerConnection* connection : connections) {
+    connection->ExpireCalls(now);
+    if (connection->IsClosed()) {
       continue;
     }
-    std::vector<CallResultHandler> expired;
-    const CallFailure failure = peer->connected_ ? CallFailure::kNoAnswer : CallFailure::kNotSent;
-    for (auto call = peer->calls_.begin(); call != peer->calls_.end();) {
-      if (call->second.expiresAt_ > now) {
-        ++call;
-        continue;
-      }
-      expired.push_back(std::move(call->second.done_));
-      peer->unsent_.erase(call->first);
-      call = peer->calls_.erase(call);
-    }
-    if (!expired.empty()) {
-      log::Warn("peers",
-                "event=call-timeout peer=",
-                settings::ToString(endpoint),
-                " calls=",
-                expired.size(),
-                " dropped=",
-                peer->calls_.size());
-      // The connection may be silent (open but carrying nothing); the next call opens a new one.
-      DropConnection(*peer);
+    connection->Check(aElapsed);
+    const bool isNewest = connection == connections.back();
+    const auto successorAnswersFor =
+      isNewest ? clock::Milliseconds(0) : connections.back()->AnswersFor(now);
+    switch (connection->State(successorAnswersFor)) {
+      case LinkState::kHealthy:
+        break;
+      case LinkState::kQuiet:
+        connection->Ping(nextNumber_++);
+        break;
+      case LinkState::kSuspect:
+        // If a replacement is open and answers nothing either, it is the host that is stalled.
+        if (connections.size() == 1) {
+          Replace(aPeer);
+        }
+        break;
+      case LinkState::kSilent:
+        log::Warn("peers",
+                  "event=connection-silent peer=",
+                  settings::ToString(aPeer),
+                  " calls=",
+                  connection->CallCount());
+        connection->Close();
+        break;
     }
-    for (const CallResultHandler& done : expired) {
-      done({ failure, {} });
+    if (!isNewest && connection->CallCount() == 0) {
+      connection->Close();
     }
-    waiting = waiting || !peer->calls_.empty();
-  }
-  if (!waiting) {
-    timer_.stop();
   }
 }
 
+void
+PeerLinks::Replace(const settings::Endpoint& aPeer)
+{
+  log::Info("peers", "event=connection-suspect peer=", settings::ToString(aPeer));
+  // The ping shows whether the host is responsive, even if no call follows.
+  Open(aPeer).Ping(nextNumber_++);
+}
+
 } // namespace quetzal::node
--- a/tests/unit/PeerLinksTest.cpp
+++ b/tests/unit/PeerLinksTest.cpp
@@ -227,6 +227,119 @@
 
 BOOST_FIXTURE_TEST_SUITE(PeerLinksSuite, PeerLinksFixture)
 
+// --- Calls that expire ---------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(Calls_OneExpires_OthersOnItsConnectionGetTheirAnswers)
+{
+  FakePeer peer;
+  const Result& brief = Call(peer.Endpoint(), "brief", 200ms);
+  const Result& first = Call(peer.Endpoint(), "first", 5s);
+  const Result& second = Call(peer.Endpoint(), "second", 4s);
+  BOOST_REQUIRE(RunUntil([&] { return peer.HasCalls(0, 3); }));
+  BOOST_REQUIRE(WaitFor(brief));
+  BOOST_TEST(first.count_ == 0);
+  BOOST_TEST(second.count_ == 0);
+  peer.Answer(0, "second");
+  peer.Answer(0, "first");
+  BOOST_REQUIRE(WaitFor(first));
+  BOOST_CHECK(brief.failure_ == CallFailure::kNoAnswer);
+  BOOST_TEST(first.body_ == "answer to first");
+  BOOST_TEST(second.body_ == "answer to second");
+  BOOST_TEST(peer.ConnectionCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Answer_ArrivesAfterItsCallExpired_IsIgnored)
+{
+  FakePeer peer;
+  const Result& expired = Call(peer.Endpoint(), "expired", 150ms);
+  BOOST_REQUIRE(RunUntil([&] { return peer.HasCalls(0, 1); }));
+  BOOST_REQUIRE(WaitFor(expired));
+  const Result& next = Call(peer.Endpoint(), "next", 3s);
+  BOOST_REQUIRE(RunUntil([&] { return peer.HasCalls(0, 2); }, 1s));
+  peer.Answer(0, "expired");
+  RunFor(50ms);
+  BOOST_TEST(next.count_ == 0);
+  peer.Answer(0, "next");
+  BOOST_REQUIRE(WaitFor(next));
+  BOOST_TEST(next.body_ == "answer to next");
+  BOOST_TEST(expired.count_ == 1);
+}
+
+BOOST_AUTO_TEST_CASE(Peer_AnswersLateButIsResponsive_KeepsItsConnection)
+{
+  FakePeer peer;
+  const Result& slow = Call(peer.Endpoint(), "slow", 6s);
+  RunFor(3s);
+  BOOST_TEST(slow.count_ == 0);
+  BOOST_TEST(peer.ConnectionCount() == 1U);
+  peer.Answer(0, "slow");
+  BOOST_REQUIRE(WaitFor(slow));
+  BOOST_TEST(slow.body_ == "answer to slow");
+}
+
+// --- Silent connections --------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(Connection_CarriesNothingWhileANewOneDoes_IsReplacedInBoundedTime)
+{
+  FakePeer peer;
+  peer.silent_ = true;
+  const clock::Moment start = clock::Now();
+  const Result& lost = Call(peer.Endpoint(), "lost", 20s);
+  BOOST_REQUIRE(RunUntil([&] { return peer.ConnectionCount() == 1; }));
+  peer.silent_ = false;
+  BOOST_REQUIRE(WaitFor(lost));
+  BOOST_CHECK(lost.failure_ == CallFailure::kNoAnswer);
+  BOOST_CHECK(lost.at_ - start < 2s);
+  const Result& next = Call(peer.Endpoint(), "next", 3s);
+  BOOST_REQUIRE(RunUntil([&] { return peer.HasCalls(1, 1); }));
+  peer.Answer(1, "next");
+  BOOST_REQUIRE(WaitFor(next));
+  BOOST_TEST(next.body_ == "answer to next");
+  BOOST_TEST(!peer.IsOpen(0));
+}
+
+BOOST_AUTO_TEST_CASE(Connection_OnlyShortCallsWaitOnIt_IsReplacedOnceSilent)
+{
+  FakePeer peer;
+  peer.silent_ = true;
+  Call(peer.Endpoint(), "first", 200ms);
+  BOOST_REQUIRE(RunUntil([&] { return peer.ConnectionCount() == 1; }));
+  peer.silent_ = false;
+  const bool replaced = RunUntil(
+    [&] {
+      RunFor(150ms);
+      Call(peer.Endpoint(), "next", 200ms);
+      return peer.HasCalls(1, 1);
+    },
+    3s);
+  BOOST_TEST(replaced);
+}
+
+BOOST_AUTO_TEST_CASE(Peer_AnswersNothingOnAnyConnection_CallsEndInBoundedTime)
+{
+  FakePeer peer;
+  peer.silent_ = true;
+  const clock::Moment start = clock::Now();
+  const Result& lost = Call(peer.Endpoint(), "lost", 20s);
+  BOOST_REQUIRE(WaitFor(lost));
+  BOOST_CHECK(lost.failure_ == CallFailure::kNoAnswer);
+  BOOST_CHECK(lost.at_ - start < 5s);
+}
+
+BOOST_AUTO_TEST_CASE(Peer_StallsAndGoesOn_CallsOnTheFirstConnectionGetTheirAnswers)
+{
+  FakePeer peer;
+  peer.silent_ = true;
+  const Result& stalled = Call(peer.Endpoint(), "stalled", 5s);
+  BOOST_REQUIRE(RunUntil([&] { return peer.ConnectionCount() == 1; }));
+  RunFor(3s);
+  BOOST_TEST(stalled.count_ == 0);
+  BOOST_TEST(peer.ConnectionCount() <= 2U);
+  peer.Write(0, FrameOf({ 1, 0, "answer to stalled" }));
+  BOOST_REQUIRE(WaitFor(stalled));
+  BOOST_TEST(stalled.body_ == "answer to stalled");
+}
+
 // --- Connections that cannot be made -------------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(Peer_RefusesConnections_CallsEndAtOnceAsNotSent)
