A message with an impossible length no longer ends the process

Callers saw: every open request of an entry host lost its connection. Five bytes (dd ff ff ff ff) in a frame to the peers' port ended quetzal-entryd with std::bad_alloc, since an array of 2^32 elements was allocated before it was read; a record of a claim in the store with such a length did the same.

Change: what is unpacked may hold no more elements than it has bytes (wire/UnpackLimit).

--- a/src/claims/Claim.cpp
+++ b/src/claims/Claim.cpp
@@ -1,5 +1,7 @@
 #include "include/quetzal/claims/Claim.h"
 
+#include "include/quetzal/wire/UnpackLimit.h"
+
 #include <msgpack.hpp>
 #include <xxhash.h>
 
@@ -104,7 +106,8 @@
 DecodeClaim(const std::string& aBytes)
 {
   try {
-    const auto handle = msgpack::unpack(aBytes.data(), aBytes.size());
+    const auto handle = msgpack::unpack(
+      aBytes.data(), aBytes.size(), nullptr, nullptr, wire::LimitFor(aBytes.size()));
     const auto stored = handle.get().as<StoredRecord>();
     if (stored.version_ != kRecordVersion) {
       return std::nullopt;
--- a/src/wire/Message.cpp
+++ b/src/wire/Message.cpp
@@ -1,5 +1,7 @@
 #include "include/quetzal/wire/Message.h"
 
+#include "include/quetzal/wire/UnpackLimit.h"
+
 namespace quetzal::wire {
 namespace {
 
@@ -10,7 +12,8 @@
 Message::Message(const std::string& aPayload)
 {
   try {
-    handle_ = msgpack::unpack(aPayload.data(), aPayload.size());
+    handle_ = msgpack::unpack(
+      aPayload.data(), aPayload.size(), nullptr, nullptr, LimitFor(aPayload.size()));
     const msgpack::object& object = handle_.get();
     if (object.type != msgpack::type::ARRAY || object.via.array.size != kPartCount) {
       throw WireError("message is not an array of version, type and content");
--- a/tests/integration/EntryStopTest.cpp
+++ b/tests/integration/EntryStopTest.cpp
@@ -1,3 +1,4 @@
+#include "include/quetzal/wire/Frame.h"
 #include "tests/harness/Deployment.h"
 
 #include <QtNetwork/QTcpSocket>
@@ -190,6 +191,17 @@
                                       "above stop_notice_ms\n");
 }
 
+BOOST_AUTO_TEST_CASE(Process_PeerDeclaresAMessageOfImpossibleSize_GoesOnServing)
+{
+  const QByteArray frame = quetzal::wire::MakeFrame("\xdd\xff\xff\xff\xff");
+  QTcpSocket peer;
+  peer.connectToHost(QString::fromStdString(deployment_.Callers(kStopping).address_), 7070);
+  BOOST_REQUIRE(peer.waitForConnected());
+  peer.write(frame);
+  Pause(300ms);
+  BOOST_TEST(OutcomeOf(deployment_.Get(kStopping, "/", "next")) == "answered");
+}
+
 BOOST_AUTO_TEST_CASE(Process_StoppedAsSoonAsItStarts_EndsInTime)
 {
   deployment_.StartEntryHost(kStopping);
