Connections accepted as listening ends are served, and slow callers get whole answers

A connection that the kernel had accepted when an entry host stopped listening, or on which a request lay unread, was closed; and an answer that its caller received slowly was cut 2 s after it was written, at a stop or not (5.4 of 8 MB received).

Change: the end of listening takes the kernel's backlog and reads what has arrived before it closes idle connections; the time for receiving a response is renewed as long as bytes leave. A caller that reads very slowly can hold its connection; at a stop the exit time bounds that.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -37,7 +37,9 @@
 Server::StopListening()
 {
   // close() resets connections that are established but not yet accepted, so accept them first.
-  Accept();
+  for (int i = 0; i < kListenBacklog && listener_.waitForNewConnection(0); ++i) {
+    Accept();
+  }
   listener_.close();
 }
 
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -9,8 +9,8 @@
 /** Bound on the bytes that are buffered while a request is processed. */
 constexpr qint64 kReadBufferBytes = 64 * 1024;
 
-/** How long the other end has to receive the last response and close the connection. After this
- * time, the connection is reset. */
+/** How long the other end has to receive a further part of the last response, and then to close the
+ * connection. After this time, the connection is reset. */
 constexpr std::chrono::milliseconds kLingerTimeout{ 2'000 };
 
 } // namespace
@@ -117,9 +117,9 @@
 {
   // Closing a socket with unread bytes resets the connection, and the response might get lost.
   phase_ = Phase::kLingering;
-  deadline_.Set(kLingerTimeout);
   socket_->readAll();
   const auto finish = [this] {
+    deadline_.Set(kLingerTimeout);
     if (socket_->bytesToWrite() == 0) {
       ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
     }
@@ -139,6 +139,8 @@
 ServerConnection::CloseIfIdle()
 {
   closeAfterAnswer_ = true;
+  // A request may have arrived that is still in the kernel's buffer.
+  socket_->waitForReadyRead(0);
   if (phase_ == Phase::kIdle && socket_->bytesAvailable() == 0) {
     Linger();
   }
--- a/tests/integration/EntryStopTest.cpp
+++ b/tests/integration/EntryStopTest.cpp
@@ -30,7 +30,8 @@
   {
     DeploymentOptions options;
     options.backendServers_ = 2;
-    options.promises_ = "    slots: 1\n    deadline_ms: 20000\n    longest_deadline_ms: 20000\n";
+    options.promises_ = "    slots: 1\n    deadline_ms: 20000\n    longest_deadline_ms: 20000\n    "
+                        "answer_bytes: 8388608\n";
     options.entrySettings_ = "stop_time_s: 3\n";
     return options;
   }
@@ -209,6 +210,56 @@
   CheckEndsInTime();
 }
 
+BOOST_AUTO_TEST_CASE(Connection_WaitsToBeAcceptedWhenListeningStops_IsServed)
+{
+  Stop();
+  Pause(100ms);
+  deployment_.EntryHost(kStopping).Signal(SIGSTOP);
+  const auto call = BeginPost("/", "waiting");
+  Pause(500ms);
+  deployment_.EntryHost(kStopping).Signal(SIGCONT);
+  BOOST_TEST(OutcomeOf(call->Wait()) == "answered");
+  CheckEndsInTime();
+}
+
+BOOST_AUTO_TEST_CASE(Request_ArrivesOnAnIdleConnectionWhenListeningStops_IsServed)
+{
+  const std::string bytes = Serialize(deployment_.MakeRequest("POST", "/", "unread"));
+  QTcpSocket caller;
+  BeginRaw(caller, {});
+  Stop();
+  Pause(100ms);
+  deployment_.EntryHost(kStopping).Signal(SIGSTOP);
+  caller.write(bytes.data(), static_cast<qint64>(bytes.size()));
+  caller.flush();
+  Pause(500ms);
+  deployment_.EntryHost(kStopping).Signal(SIGCONT);
+  std::string answer;
+  WaitUntil([&] {
+    answer += caller.readAll().toStdString();
+    return caller.state() == QAbstractSocket::UnconnectedState;
+  });
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+  CheckEndsInTime();
+}
+
+BOOST_AUTO_TEST_CASE(Answer_CallerReceivesItSlowly_IsReceivedWhole)
+{
+  constexpr std::size_t kBytes = 8'000'000;
+  QTcpSocket caller;
+  caller.setReadBufferSize(64 * 1024);
+  auto request = deployment_.MakeRequest("GET", "/?bytes=" + std::to_string(kBytes), "large");
+  request.fields_.push_back({ "Connection", "close" });
+  BeginRaw(caller, Serialize(request));
+  std::size_t received = 0;
+  WaitUntil([&] {
+    Pause(60ms);
+    received += static_cast<std::size_t>(caller.read(64 * 1024).size());
+    return caller.state() == QAbstractSocket::UnconnectedState && caller.bytesAvailable() == 0;
+  });
+  BOOST_TEST(received > kBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 /** Requests whose attempt ends while their host or their caller leaves. */
