--- a/src/connection/Client.cpp
+++ b/src/connection/Client.cpp
@@ -23,16 +23,20 @@
 Client::SendNext()
 {
   while (!waiting_.empty()) {
+    if (waiting_.front().expiresAt_ <= std::chrono::steady_clock::now()) {
+      const Exchange expired = std::move(waiting_.front());
+      waiting_.pop_front();
+      if (expired.callback_) {
+        expired.callback_({ ExchangeError::kTimedOut, {}, false });
+      }
+      continue;
+    }
     PooledConnection* pooled = FindFreeConnection();
     if (pooled == nullptr) {
       return;
     }
     Exchange exchange = std::move(waiting_.front());
     waiting_.pop_front();
-    if (exchange.expiresAt_ <= std::chrono::steady_clock::now()) {
-      exchange.callback_({ ExchangeError::kTimedOut, {}, false });
-      continue;
-    }
     StartExchange(*pooled, std::move(exchange));
   }
 }
