A refusal is not passed on while the same owner may still carry out an earlier attempt

What callers may see: 503 "not accepted" for a job that runs (a "not run" that is untrue). An attempt whose connection broke can still lie unread at the owner; the next attempt, on a new connection, is refused for load or a hand-over, and then the owner reads the first one and accepts the job.

Change: a request remembers the incarnation of the last owner that may still carry out an attempt; a refusal by that one is an unknown outcome, and the request is tried again until its time is over. The refusal of a later owner stays a refusal, as its claim ended the earlier owner's writes.

Submit_EarlierAttemptMayStillBeCarriedOut_RefusalIsNotPassedOn fails before and passes after.

--- a/include/quetzal/node/JobRequestHandler.h
+++ b/include/quetzal/node/JobRequestHandler.h
@@ -25,7 +25,9 @@
   jobs::JobSpec spec_;                   ///< Set for kSubmit.
   clock::Milliseconds timeout_{ 3'000 }; ///< How long the caller waits for an answer.
   bool outcomeUnknown_ = false; ///< An owner may have stored the change without confirming it.
-  std::uint64_t number_ = 0;    ///< Set by OpenRequests; 0 for a request of another entry host.
+  /** The incarnation of the last owner that may still carry out an earlier attempt; empty: none. */
+  std::string doubtfulOwner_;
+  std::uint64_t number_ = 0; ///< Set by OpenRequests; 0 for a request of another entry host.
 };
 
 /** Answers callers' requests about jobs, whichever entry host owns the job's cell. */
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -36,6 +36,14 @@
   return answer;
 }
 
+/** Returns whether a refusal is not final, because the owner that refuses may still carry out an
+ * earlier attempt of the same request. */
+bool
+IsDoubtful(const JobRequest& aRequest, const cells::Answer& aAnswer, const std::string& aOwner)
+{
+  return aAnswer.status_ == cells::AnswerStatus::kRefused && aRequest.doubtfulOwner_ == aOwner;
+}
+
 } // namespace
 
 NodeProcess::NodeProcess(const NodeSettings& aSettings, Ports aPorts, metrics::Registry& aMetrics)
@@ -400,13 +408,15 @@
               PeerMethod::kJob,
               jobs::Encode(ToCall(aRequest)),
               aRequest.timeout_,
-              [this, aRequest, aDone, sentAt](const CallResult& aResult) {
+              [this, aOwner, aRequest, aDone, sentAt](const CallResult& aResult) {
                 JobReply reply;
                 const bool hasReply = aResult.failure_ == CallFailure::kNone;
                 const bool isReadable = hasReply && jobs::Decode(aResult.body_, reply);
                 const bool answered = isReadable && reply.owned_;
-                if (answered && FromReply(reply).status_ != cells::AnswerStatus::kUnknownOutcome) {
-                  aDone(FromReply(reply));
+                const cells::Answer answer = FromReply(reply);
+                if (answered && answer.status_ != cells::AnswerStatus::kUnknownOutcome &&
+                    !IsDoubtful(aRequest, answer, aOwner.incarnation_)) {
+                  aDone(answer);
                   return;
                 }
                 if (aRequest.kind_ == RequestKind::kGetState) {
@@ -419,6 +429,9 @@
                 retry.outcomeUnknown_ = aRequest.outcomeUnknown_ || answered ||
                                         hasReply != isReadable ||
                                         aResult.failure_ == CallFailure::kNoAnswer;
+                if (retry.outcomeUnknown_ && !(isReadable && !reply.owned_)) {
+                  retry.doubtfulOwner_ = aOwner.incarnation_;
+                }
                 RetryRequest(retry, aDone);
               });
 }
--- a/tests/unit/NodeProcessTest.cpp
+++ b/tests/unit/NodeProcessTest.cpp
@@ -1,6 +1,8 @@
 #include "include/quetzal/node/NodeProcess.h"
 #include "include/quetzal/clock/Now.h"
 
+#include "include/quetzal/wire/Frame.h"
+#include "src/node/Envelope.h"
 #include "src/node/Messages.h"
 #include "tests/unit/FakeWorkers.h"
 #include "tests/unit/MemoryStore.h"
@@ -8,6 +10,7 @@
 #include <QtCore/QCoreApplication>
 #include <QtCore/QElapsedTimer>
 #include <QtNetwork/QTcpServer>
+#include <QtNetwork/QTcpSocket>
 #include <boost/test/unit_test.hpp>
 
 namespace {
@@ -257,4 +260,74 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** A process whose cell "svc" is owned by another entry host. That host closes the connection of
+ * the first call without an answer, and refuses every later one. */
+struct RefusingOwnerFixture : NodeFixture
+{
+  RefusingOwnerFixture()
+  {
+    BOOST_REQUIRE(server_.listen(QHostAddress::LocalHost));
+    QObject::connect(&server_, &QTcpServer::newConnection, &server_, [this] { Accept(); });
+    jobs::OwnerRecord owner;
+    owner.owner_ = "z";
+    owner.address_ = "127.0.0.1";
+    owner.port_ = server_.serverPort();
+    owner.incarnation_ = "z1";
+    store_.Put(CellKey("svc"), jobs::Encode(owner));
+    BOOST_REQUIRE(AnswerUntil([this] { return process_->IsReady(); }));
+  }
+
+  void Accept()
+  {
+    QTcpSocket* socket = server_.nextPendingConnection();
+    QObject::connect(socket, &QTcpSocket::readyRead, &server_, [this, socket] {
+      bytes_ += socket->readAll();
+      while (const auto payload = wire::TakeFrame(bytes_)) {
+        if (++calls_ == 1) {
+          socket->abort();
+          return;
+        }
+        const cells::Answer refusal{ cells::AnswerStatus::kRefused, {}, 0, 1'000ms };
+        const std::int64_t number = UnpackEnvelope(*payload).number_;
+        socket->write(wire::MakeFrame(Pack({ number, 0, jobs::Encode(ToReply(refusal)) })));
+      }
+    });
+  }
+
+  cells::AnswerStatus Submit()
+  {
+    JobRequest request;
+    request.kind_ = RequestKind::kSubmit;
+    request.cell_ = "svc";
+    request.queue_ = "q";
+    request.id_ = "job1";
+    request.timeout_ = 1'500ms;
+    std::optional<cells::AnswerStatus> status;
+    process_->Handle(request, [&status](const auto& aAnswer) { status = aAnswer.status_; });
+    BOOST_TEST(AnswerUntil([&status] { return status.has_value(); }));
+    return status.value();
+  }
+
+  QTcpServer server_;
+  QByteArray bytes_;
+  int calls_ = 0;
+};
+
+BOOST_FIXTURE_TEST_SUITE(RequestsAtARefusingOwner, RefusingOwnerFixture)
+
+BOOST_AUTO_TEST_CASE(Submit_EarlierAttemptMayStillBeCarriedOut_RefusalIsNotPassedOn)
+{
+  BOOST_TEST((Submit() == cells::AnswerStatus::kUnknownOutcome));
+  BOOST_TEST(calls_ > 1);
+}
+
+BOOST_AUTO_TEST_CASE(Submit_FirstAttemptIsRefused_IsRefusedAtOnce)
+{
+  calls_ = 1;
+  BOOST_TEST((Submit() == cells::AnswerStatus::kRefused));
+  BOOST_TEST(calls_ == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace
