--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -135,7 +135,7 @@
 
   /** Starts no more tasks, reads no more ends and writes what is known, since the cell is about to
    * be handed over. */
-  void StopPlacing();
+  void BeginHandOver();
 
   /** Returns whether all that is known is stored: no write is pending or in flight. */
   bool IsIdle() const;
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -100,6 +100,7 @@
   void StartHandOver(const std::string& aCell);
   void ReleaseDrainedCells();
   void ContinueHandOver();
+  /** Ends a claim without its result. If it was sent, the store may still carry it out. */
   void AbandonClaim(const std::string& aCell);
   void AbandonClaims();
   void ReleaseUnservedCells();
--- a/include/quetzal/node/OpenRequests.h
+++ b/include/quetzal/node/OpenRequests.h
@@ -57,7 +57,7 @@
     clock::Milliseconds timeout_{ 0 };
   };
 
-  static void Log(const OpenRequest& aRequest);
+  static void LogOpen(const OpenRequest& aRequest);
   void Answer(std::uint64_t aNumber, const cells::Answer& aAnswer);
 
   std::map<std::uint64_t, OpenRequest> open_;
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -208,7 +208,7 @@
 }
 
 void
-Cell::StopPlacing()
+Cell::BeginHandOver()
 {
   handingOver_ = true;
   placementTimer_.stop();
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -701,7 +701,7 @@
   OwnedCell& owned = cells_.at(aCell);
   if (!owned.handOverSince_) {
     owned.handOverSince_ = Now();
-    owned.cell_->StopPlacing();
+    owned.cell_->BeginHandOver();
   }
 }
 
--- a/src/node/OpenRequests.cpp
+++ b/src/node/OpenRequests.cpp
@@ -9,6 +9,7 @@
 #include <array>
 
 namespace quetzal::node {
+
 const char*
 ToString(RequestStage aStage)
 {
@@ -59,13 +60,13 @@
 OpenRequests::AnswerAll()
 {
   while (!open_.empty()) {
-    Log(open_.begin()->second);
+    LogOpen(open_.begin()->second);
     Answer(open_.begin()->first, { cells::AnswerStatus::kUnknownOutcome });
   }
 }
 
 void
-OpenRequests::Log(const OpenRequest& aRequest)
+OpenRequests::LogOpen(const OpenRequest& aRequest)
 {
   const auto age =
     std::chrono::duration_cast<clock::Milliseconds>(clock::Now() - aRequest.arrivedAt_);
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -112,7 +112,7 @@
   worker.End(first_, jobs::EndKind::kDone);
   BOOST_TEST(RunUntil([&] { return worker.listed_ == 1; }));
   RunFor(10ms);
-  cell->StopPlacing();
+  cell->BeginHandOver();
   BOOST_TEST(RunUntil([&cell] { return cell->IsIdle(); }, 500));
   cell->Abandon();
   worker.reachable_ = false;
@@ -132,7 +132,7 @@
   Submit(*cell, "job1", Spec(20));
   BOOST_TEST(RunUntil([&] { return worker.running_.size() == 20; }));
   RunFor(50ms);
-  cell->StopPlacing();
+  cell->BeginHandOver();
   while (worker.running_.size() > 1) {
     worker.End(worker.running_.begin()->first, jobs::EndKind::kDone);
     RunFor(10ms);
