--- a/tests/integration/EntryStopTest.cpp
+++ b/tests/integration/EntryStopTest.cpp
@@ -278,8 +278,7 @@
   {
     const std::string host = deployment_.HostName(aHost);
     std::istringstream lines(deployment_.DocumentText());
-    const std::string file =
-      directory_.filePath(QString::fromStdString("without-" + host)).toStdString();
+    std::string file = directory_.filePath(QString::fromStdString("without-" + host)).toStdString();
     std::ofstream output(file);
     std::string line;
     while (std::getline(lines, line)) {
