--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -4,8 +4,8 @@
 #include "include/quetzal/node/FleetManager.h"
 #include "include/quetzal/node/JobRequestHandler.h"
 #include "include/quetzal/node/NodeSettings.h"
-#include "include/quetzal/node/OpenRequests.h"
 #include "include/quetzal/node/PeerLinks.h"
+#include "include/quetzal/node/RequestRouter.h"
 #include "include/quetzal/process/StopSchedule.h"
 
 #include <QtCore/QObject>
@@ -54,7 +54,7 @@
   std::size_t ClaimsInFlight() const { return claims_.size(); }
 
   /** Callers' requests without an answer. */
-  const OpenRequests& Requests() const { return requests_; }
+  const OpenRequests& Requests() const { return router_.Requests(); }
 
 Q_SIGNALS:
   /** Every cell has been released; cells that were not idle in time are released after a timeout.
@@ -83,14 +83,6 @@
   jobs::OwnerRecord MakeOwnerRecord() const;
 
   clock::Milliseconds SinceStop() const;
-  /** Sends a request to whoever owns its cell now. */
-  void Route(const JobRequest& aRequest, const cells::AnswerCallback& aDone);
-  void HandleLocally(cells::Cell& aCell, const JobRequest& aRequest, cells::AnswerCallback aDone);
-  void HandleAtPeer(const jobs::OwnerRecord& aOwner,
-                    const JobRequest& aRequest,
-                    const cells::AnswerCallback& aDone);
-  void RetryRequest(const JobRequest& aRequest, const cells::AnswerCallback& aDone);
-  void HandleFromStore(const JobRequest& aRequest, const cells::AnswerCallback& aDone, bool aFinal);
   void ServePeer(PeerMethod aMethod,
                  const std::string& aBody,
                  const std::function<void(const std::string&)>& aReply);
@@ -114,7 +106,7 @@
   metrics::Registry& metrics_;
   Membership membership_;
   PeerLinks links_;
-  OpenRequests requests_;
+  RequestRouter router_;
   std::map<std::string, OwnedCell> cells_;
   std::map<std::string, CellClaim*> claims_;
   std::map<std::string, clock::Moment> vacantSince_;
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -23,27 +23,6 @@
 /** How long the load must stay uneven before a cell is handed over. By then, this host knows
  * which hosts have just stopped or returned. */
 constexpr clock::Milliseconds kBalanceDelay{ 1'000 };
-constexpr clock::Milliseconds kVacantRetryAfter{ 1'000 };
-/** Delay between retries of a request whose outcome is unknown. */
-constexpr clock::Milliseconds kRequestRetryDelay{ 150 };
-
-cells::Answer
-Refusal()
-{
-  cells::Answer answer;
-  answer.status_ = cells::AnswerStatus::kRefused;
-  answer.retryAfter_ = kVacantRetryAfter;
-  return answer;
-}
-
-/** Returns whether a refusal is not final, because the owner that refuses may still carry out an
- * earlier attempt of the same request. */
-bool
-IsDoubtful(const JobRequest& aRequest, const cells::Answer& aAnswer, const std::string& aOwner)
-{
-  return aAnswer.status_ == cells::AnswerStatus::kRefused && aRequest.doubtfulOwner_ == aOwner;
-}
-
 } // namespace
 
 NodeProcess::NodeProcess(const NodeSettings& aSettings, Ports aPorts, metrics::Registry& aMetrics)
@@ -59,7 +38,15 @@
                   aSettings.processorShare_ },
                 nullptr)
   , links_(nullptr)
-  , requests_(nullptr)
+  , router_(aSettings.name_,
+            { &membership_,
+              &links_,
+              ports_.store_,
+              [this](const std::string& aCell) {
+                const auto owned = cells_.find(aCell);
+                return owned == cells_.end() ? nullptr : owned->second.cell_;
+              } },
+            nullptr)
   , startedAt_(Now())
   , stopSchedule_(process::MakeStopSchedule(aSettings.stopTime_, kMinServingTimeDuringStop))
 {
@@ -316,180 +303,12 @@
   if (stopping_) {
     const auto timeout = process::TimeoutDuringStop(stopSchedule_, SinceStop(), aRequest.timeout_);
     if (!timeout) {
-      aDone(Refusal());
+      aDone(MakeRefusal());
       return;
     }
     request.timeout_ = *timeout;
   }
-  const cells::AnswerCallback done = requests_.Add(request, std::move(aDone));
-  Route(request, done);
-}
-
-void
-NodeProcess::Route(const JobRequest& aRequest, const cells::AnswerCallback& aDone)
-{
-  const bool isAboutOneJob =
-    aRequest.kind_ == RequestKind::kGetState || aRequest.kind_ == RequestKind::kCancel;
-  // If a local cell is dropped, the outcome of its requests is unknown; the cell's next owner can
-  // determine the outcome. A job stays in the cell that accepted it even if its queue has moved;
-  // the job's record in the store names the cell.
-  const clock::Moment startedAt = Now();
-  const cells::AnswerCallback checked = [=, this](const cells::Answer& aAnswer) {
-    if (isAboutOneJob && aAnswer.status_ == cells::AnswerStatus::kUnknownJob) {
-      HandleFromStore(aRequest, aDone, false);
-      return;
-    }
-    if (aAnswer.status_ == cells::AnswerStatus::kUnknownOutcome &&
-        aRequest.kind_ != RequestKind::kGetState) {
-      JobRequest retry = aRequest;
-      retry.outcomeUnknown_ = true;
-      retry.timeout_ -= std::chrono::duration_cast<clock::Milliseconds>(Now() - startedAt);
-      RetryRequest(retry, aDone);
-      return;
-    }
-    aDone(aAnswer);
-  };
-  if (const auto cell = cells_.find(aRequest.cell_); cell != cells_.end()) {
-    requests_.SetStage(aRequest.number_, RequestStage::kOwnCell);
-    HandleLocally(*cell->second.cell_, aRequest, checked);
-    return;
-  }
-  const auto owner = membership_.OwnerOf(aRequest.cell_);
-  if (owner && owner->owner_ != settings_.name_) {
-    HandleAtPeer(*owner, aRequest, checked);
-    return;
-  }
-  if (aRequest.kind_ == RequestKind::kGetState) {
-    HandleFromStore(aRequest, aDone, true);
-    return;
-  }
-  if (aRequest.outcomeUnknown_) {
-    JobRequest retry = aRequest;
-    retry.timeout_ -= kRequestRetryDelay;
-    RetryRequest(retry, aDone);
-    return;
-  }
-  aDone(Refusal());
-}
-
-void
-NodeProcess::HandleLocally(cells::Cell& aCell,
-                           const JobRequest& aRequest,
-                           cells::AnswerCallback aDone)
-{
-  switch (aRequest.kind_) {
-    case RequestKind::kSubmit:
-      aCell.Submit(aRequest.queue_, aRequest.id_, aRequest.spec_, std::move(aDone));
-      return;
-    case RequestKind::kGetState:
-      aCell.Show(aRequest.id_, aDone);
-      return;
-    case RequestKind::kCancel:
-      aCell.Cancel(aRequest.id_, std::move(aDone));
-      return;
-    case RequestKind::kCountPending:
-      cells::Answer answer;
-      answer.status_ = cells::AnswerStatus::kCounted;
-      answer.pending_ = aCell.PendingOf(aRequest.queue_);
-      aDone(answer);
-      return;
-  }
-}
-
-void
-NodeProcess::HandleAtPeer(const jobs::OwnerRecord& aOwner,
-                          const JobRequest& aRequest,
-                          const cells::AnswerCallback& aDone)
-{
-  const settings::Endpoint peer{ aOwner.address_, static_cast<std::uint16_t>(aOwner.port_) };
-  const clock::Moment sentAt = Now();
-  requests_.SetStage(aRequest.number_, RequestStage::kOwner);
-  links_.Call(peer,
-              PeerMethod::kJob,
-              jobs::Encode(ToCall(aRequest)),
-              aRequest.timeout_,
-              [this, aOwner, aRequest, aDone, sentAt](const CallResult& aResult) {
-                JobReply reply;
-                const bool hasReply = aResult.failure_ == CallFailure::kNone;
-                const bool isReadable = hasReply && jobs::Decode(aResult.body_, reply);
-                const bool answered = isReadable && reply.owned_;
-                const cells::Answer answer = FromReply(reply);
-                if (answered && answer.status_ != cells::AnswerStatus::kUnknownOutcome &&
-                    !IsDoubtful(aRequest, answer, aOwner.incarnation_)) {
-                  aDone(answer);
-                  return;
-                }
-                if (aRequest.kind_ == RequestKind::kGetState) {
-                  HandleFromStore(aRequest, aDone, true);
-                  return;
-                }
-                JobRequest retry = aRequest;
-                retry.timeout_ -= std::chrono::duration_cast<clock::Milliseconds>(Now() - sentAt) +
-                                  kRequestRetryDelay;
-                retry.outcomeUnknown_ = aRequest.outcomeUnknown_ || answered ||
-                                        hasReply != isReadable ||
-                                        aResult.failure_ == CallFailure::kNoAnswer;
-                if (retry.outcomeUnknown_ && !(isReadable && !reply.owned_)) {
-                  retry.doubtfulOwner_ = aOwner.incarnation_;
-                }
-                RetryRequest(retry, aDone);
-              });
-}
-
-void
-NodeProcess::RetryRequest(const JobRequest& aRequest, const cells::AnswerCallback& aDone)
-{
-  if (!requests_.IsOpen(aRequest.number_)) {
-    return; // The caller has its answer, as the request's time is over.
-  }
-  // If nothing can have been stored, the request is refused at once and the caller may retry.
-  if (!aRequest.outcomeUnknown_) {
-    aDone(Refusal());
-    return;
-  }
-  if (aRequest.timeout_ <= kAnswerMargin) {
-    log::Warn("node", "event=outcome-unknown job=", aRequest.id_, " cell=", aRequest.cell_);
-    aDone({ cells::AnswerStatus::kUnknownOutcome });
-    return;
-  }
-  // The retry has the same job id, so whichever host then owns the cell knows whether the job is
-  // stored.
-  requests_.SetStage(aRequest.number_, RequestStage::kRetry);
-  QTimer::singleShot(kRequestRetryDelay, this, [this, aRequest, aDone] { Route(aRequest, aDone); });
-}
-
-void
-NodeProcess::HandleFromStore(const JobRequest& aRequest,
-                             const cells::AnswerCallback& aDone,
-                             bool aFinal)
-{
-  requests_.SetStage(aRequest.number_, RequestStage::kStore);
-  const QPointer<NodeProcess> self(this);
-  ports_.store_->Get(
-    cells::JobKey(aRequest.id_), [self, aRequest, aDone, aFinal](const store::ReadResult& aResult) {
-      if (!self || aResult.status_ != store::Status::kSucceeded) {
-        aDone({ cells::AnswerStatus::kUnknownOutcome });
-        return;
-      }
-      jobs::JobRecord record;
-      if (aResult.items_.empty() || !jobs::Decode(aResult.items_.front().value_, record)) {
-        aDone({ cells::AnswerStatus::kUnknownJob });
-        return;
-      }
-      const auto state = static_cast<jobs::JobState>(record.state_);
-      if (!jobs::IsFinal(state) && !aFinal && record.cell_ != aRequest.cell_) {
-        JobRequest moved = aRequest;
-        moved.cell_ = record.cell_;
-        self->Route(moved, aDone);
-        return;
-      }
-      if (aRequest.kind_ == RequestKind::kGetState) {
-        aDone({ cells::AnswerStatus::kFound, state });
-        return;
-      }
-      aDone({ jobs::IsFinal(state) ? cells::AnswerStatus::kCancelled
-                                   : cells::AnswerStatus::kUnknownOutcome });
-    });
+  router_.Handle(request, std::move(aDone));
 }
 
 // --- Peers ---------------------------------------------------------------------------------------
@@ -509,19 +328,7 @@
     aReply(jobs::Encode(reply));
     return;
   }
-  JobCall call;
-  const bool isReadable = jobs::Decode(aBody, call);
-  if (!isReadable) {
-    log::Warn("node", "event=call-ignored bytes=", aBody.size());
-  }
-  const auto cell = isReadable ? cells_.find(call.cell_) : cells_.end();
-  if (cell == cells_.end()) {
-    aReply(jobs::Encode(JobReply{}));
-    return;
-  }
-  HandleLocally(*cell->second.cell_, FromCall(call), [aReply](const cells::Answer& aAnswer) {
-    aReply(jobs::Encode(ToReply(aAnswer)));
-  });
+  router_.HandleCall(aBody, aReply);
 }
 
 void
@@ -582,7 +389,7 @@
   stopping_ = true;
   stopStartedAt_ = Now();
   QTimer::singleShot(
-    stopSchedule_.lastAnswer_, Qt::PreciseTimer, &requests_, &OpenRequests::AnswerAll);
+    stopSchedule_.lastAnswer_, Qt::PreciseTimer, &router_.Requests(), &OpenRequests::AnswerAll);
   log::Info("node", "event=stop cells=", cells_.size(), " fleet=", fleet_ != nullptr);
   membership_.AnnounceStop();
   AbandonClaims();
--- /dev/null
+++ b/src/node/RequestRouter.cpp
@@ -0,0 +1,272 @@
+#include "include/quetzal/node/RequestRouter.h"
+
+#include "include/quetzal/clock/Now.h"
+#include "include/quetzal/log/Log.h"
+#include "src/node/Messages.h"
+
+#include <QtCore/QPointer>
+#include <QtCore/QTimer>
+
+namespace quetzal::node {
+namespace {
+
+using clock::Now;
+
+constexpr clock::Milliseconds kVacantRetryAfter{ 1'000 };
+/** Delay between attempts of a request whose outcome is unknown. */
+constexpr clock::Milliseconds kAttemptDelay{ 150 };
+
+clock::Milliseconds
+TimeSince(clock::Moment aMoment)
+{
+  return std::chrono::duration_cast<clock::Milliseconds>(Now() - aMoment);
+}
+
+/** Returns whether a refusal is not final, because the owner that refuses may still carry out an
+ * earlier attempt of the same request. */
+bool
+IsDoubtful(const JobRequest& aRequest, const cells::Answer& aAnswer, const std::string& aOwner)
+{
+  return aAnswer.status_ == cells::AnswerStatus::kRefused && aRequest.doubtfulOwner_ == aOwner;
+}
+
+void
+HandleInCell(cells::Cell& aCell, const JobRequest& aRequest, cells::AnswerCallback aDone)
+{
+  switch (aRequest.kind_) {
+    case RequestKind::kSubmit:
+      aCell.Submit(aRequest.queue_, aRequest.id_, aRequest.spec_, std::move(aDone));
+      return;
+    case RequestKind::kGetState:
+      aCell.Show(aRequest.id_, aDone);
+      return;
+    case RequestKind::kCancel:
+      aCell.Cancel(aRequest.id_, std::move(aDone));
+      return;
+    case RequestKind::kCountPending:
+      cells::Answer answer;
+      answer.status_ = cells::AnswerStatus::kCounted;
+      answer.pending_ = aCell.PendingOf(aRequest.queue_);
+      aDone(answer);
+      return;
+  }
+}
+
+} // namespace
+
+cells::Answer
+MakeRefusal()
+{
+  cells::Answer answer;
+  answer.status_ = cells::AnswerStatus::kRefused;
+  answer.retryAfter_ = kVacantRetryAfter;
+  return answer;
+}
+
+RequestRouter::RequestRouter(std::string aSelf, RouterPorts aPorts, QObject* aParent)
+  : QObject(aParent)
+  , self_(std::move(aSelf))
+  , ports_(std::move(aPorts))
+  , requests_(nullptr)
+{
+}
+
+void
+RequestRouter::Handle(const JobRequest& aRequest, cells::AnswerCallback aDone)
+{
+  JobRequest request = aRequest;
+  const cells::AnswerCallback done = requests_.Add(request, std::move(aDone));
+  Route(request, done);
+}
+
+void
+RequestRouter::HandleCall(const std::string& aBody,
+                          const std::function<void(const std::string&)>& aReply)
+{
+  JobCall call;
+  const bool isReadable = jobs::Decode(aBody, call);
+  if (!isReadable) {
+    log::Warn("node", "event=call-ignored bytes=", aBody.size());
+  }
+  cells::Cell* cell = isReadable ? ports_.ownCell_(call.cell_) : nullptr;
+  if (cell == nullptr) {
+    aReply(jobs::Encode(JobReply{}));
+    return;
+  }
+  HandleInCell(*cell, FromCall(call), [aReply](const cells::Answer& aAnswer) {
+    aReply(jobs::Encode(ToReply(aAnswer)));
+  });
+}
+
+void
+RequestRouter::Route(const JobRequest& aRequest, const cells::AnswerCallback& aDone)
+{
+  const cells::AnswerCallback onAnswer =
+    [this, aRequest, aDone, sentAt = Now()](const cells::Answer& aAnswer) {
+      OnAnswer(aRequest, sentAt, aAnswer, aDone);
+    };
+  if (cells::Cell* cell = ports_.ownCell_(aRequest.cell_)) {
+    requests_.SetStage(aRequest.number_, RequestStage::kOwnCell);
+    HandleInCell(*cell, aRequest, onAnswer);
+    return;
+  }
+  const auto owner = ports_.membership_->OwnerOf(aRequest.cell_);
+  if (owner && owner->owner_ != self_) {
+    SendToOwner(*owner, aRequest, onAnswer);
+    return;
+  }
+  if (aRequest.kind_ == RequestKind::kGetState) {
+    AnswerFromStore(aRequest, aDone, true);
+    return;
+  }
+  if (aRequest.outcomeUnknown_) {
+    JobRequest retry = aRequest;
+    retry.timeout_ -= kAttemptDelay;
+    Retry(retry, aDone);
+    return;
+  }
+  aDone(MakeRefusal());
+}
+
+void
+RequestRouter::OnAnswer(const JobRequest& aRequest,
+                        clock::Moment aSentAt,
+                        const cells::Answer& aAnswer,
+                        const cells::AnswerCallback& aDone)
+{
+  const bool isAboutOneJob =
+    aRequest.kind_ == RequestKind::kGetState || aRequest.kind_ == RequestKind::kCancel;
+  if (isAboutOneJob && aAnswer.status_ == cells::AnswerStatus::kUnknownJob) {
+    // A job stays in the cell that accepted it even if its queue has moved; the job's record in the
+    // store names the cell.
+    AnswerFromStore(aRequest, aDone, false);
+    return;
+  }
+  if (aAnswer.status_ == cells::AnswerStatus::kUnknownOutcome &&
+      aRequest.kind_ != RequestKind::kGetState) {
+    // If an own cell is dropped, its next owner can determine the outcome of its requests.
+    JobRequest retry = aRequest;
+    retry.outcomeUnknown_ = true;
+    retry.timeout_ -= TimeSince(aSentAt);
+    Retry(retry, aDone);
+    return;
+  }
+  aDone(aAnswer);
+}
+
+void
+RequestRouter::SendToOwner(const jobs::OwnerRecord& aOwner,
+                           const JobRequest& aRequest,
+                           const cells::AnswerCallback& aDone)
+{
+  const settings::Endpoint peer{ aOwner.address_, static_cast<std::uint16_t>(aOwner.port_) };
+  requests_.SetStage(aRequest.number_, RequestStage::kOwner);
+  ports_.links_->Call(
+    peer,
+    PeerMethod::kJob,
+    jobs::Encode(ToCall(aRequest)),
+    aRequest.timeout_,
+    [this, incarnation = aOwner.incarnation_, aRequest, aDone, sentAt = Now()](
+      const CallResult& aResult) { OnOwnersReply(incarnation, aRequest, sentAt, aResult, aDone); });
+}
+
+void
+RequestRouter::OnOwnersReply(const std::string& aIncarnation,
+                             const JobRequest& aRequest,
+                             clock::Moment aSentAt,
+                             const CallResult& aResult,
+                             const cells::AnswerCallback& aDone)
+{
+  JobReply reply;
+  const bool hasReply = aResult.failure_ == CallFailure::kNone;
+  const bool isReadable = hasReply && jobs::Decode(aResult.body_, reply);
+  const bool isAnswered = isReadable && reply.owned_;
+  const cells::Answer answer = FromReply(reply);
+  if (isAnswered && answer.status_ != cells::AnswerStatus::kUnknownOutcome &&
+      !IsDoubtful(aRequest, answer, aIncarnation)) {
+    aDone(answer);
+    return;
+  }
+  if (aRequest.kind_ == RequestKind::kGetState) {
+    AnswerFromStore(aRequest, aDone, true);
+    return;
+  }
+  JobRequest retry = aRequest;
+  retry.timeout_ -= TimeSince(aSentAt) + kAttemptDelay;
+  retry.outcomeUnknown_ = aRequest.outcomeUnknown_ || isAnswered || hasReply != isReadable ||
+                          aResult.failure_ == CallFailure::kNoAnswer;
+  const bool isElsewhere = isReadable && !reply.owned_;
+  if (retry.outcomeUnknown_ && !isElsewhere) {
+    retry.doubtfulOwner_ = aIncarnation;
+  }
+  Retry(retry, aDone);
+}
+
+void
+RequestRouter::Retry(const JobRequest& aRequest, const cells::AnswerCallback& aDone)
+{
+  if (!requests_.IsOpen(aRequest.number_)) {
+    return; // The caller has its answer, as the request's time is over.
+  }
+  // If nothing can have been stored, the request is refused at once and the caller may retry.
+  if (!aRequest.outcomeUnknown_) {
+    aDone(MakeRefusal());
+    return;
+  }
+  if (aRequest.timeout_ <= kAnswerMargin) {
+    log::Warn("node", "event=outcome-unknown job=", aRequest.id_, " cell=", aRequest.cell_);
+    aDone({ cells::AnswerStatus::kUnknownOutcome });
+    return;
+  }
+  // The next attempt has the same job id, so whichever host then owns the cell knows whether the
+  // job is stored.
+  requests_.SetStage(aRequest.number_, RequestStage::kRetry);
+  QTimer::singleShot(kAttemptDelay, this, [this, aRequest, aDone] { Route(aRequest, aDone); });
+}
+
+void
+RequestRouter::AnswerFromStore(const JobRequest& aRequest,
+                               const cells::AnswerCallback& aDone,
+                               bool aFinal)
+{
+  requests_.SetStage(aRequest.number_, RequestStage::kStore);
+  const QPointer<RequestRouter> self(this);
+  ports_.store_->Get(cells::JobKey(aRequest.id_),
+                     [self, aRequest, aDone, aFinal](const store::ReadResult& aResult) {
+                       if (self) {
+                         self->OnRecordRead(aRequest, aResult, aDone, aFinal);
+                       }
+                     });
+}
+
+void
+RequestRouter::OnRecordRead(const JobRequest& aRequest,
+                            const store::ReadResult& aResult,
+                            const cells::AnswerCallback& aDone,
+                            bool aFinal)
+{
+  if (aResult.status_ != store::Status::kSucceeded) {
+    aDone({ cells::AnswerStatus::kUnknownOutcome });
+    return;
+  }
+  jobs::JobRecord record;
+  if (aResult.items_.empty() || !jobs::Decode(aResult.items_.front().value_, record)) {
+    aDone({ cells::AnswerStatus::kUnknownJob });
+    return;
+  }
+  const auto state = static_cast<jobs::JobState>(record.state_);
+  if (!jobs::IsFinal(state) && !aFinal && record.cell_ != aRequest.cell_) {
+    JobRequest moved = aRequest;
+    moved.cell_ = record.cell_;
+    Route(moved, aDone);
+    return;
+  }
+  if (aRequest.kind_ == RequestKind::kGetState) {
+    aDone({ cells::AnswerStatus::kFound, state });
+    return;
+  }
+  aDone({ jobs::IsFinal(state) ? cells::AnswerStatus::kCancelled
+                               : cells::AnswerStatus::kUnknownOutcome });
+}
+
+} // namespace quetzal::node
