quetzalctl explain says what logs tell of a job or a host

`explain JOB|HOST [LOG...]` reads the logs of all processes (files or standard input), prints the records that name the subject with their ages, for a job also the changes of its cell's owner, the troubles of its workers and the lines that its owners dropped, and a conclusion: what became of it, and the likely cause of its longest wait.

--- a/src/bin/Quetzalctl.cpp
+++ b/src/bin/Quetzalctl.cpp
@@ -1,6 +1,7 @@
 /** quetzalctl: command-line tool for operators. */
 
 #include "include/quetzal/document/DocumentQueries.h"
+#include "include/quetzal/explain/Conclusion.h"
 #include "include/quetzal/fleet/Effect.h"
 #include "include/quetzal/platform/EtcdStore.h"
 #include "include/quetzal/process/Application.h"
@@ -11,6 +12,7 @@
 #include "include/quetzal/view/View.h"
 
 #include <QtCore/QCoreApplication>
+#include <fstream>
 #include <iostream>
 #include <tclap/CmdLine.h>
 
@@ -18,6 +20,7 @@
 
 using quetzal::settings::SettingsError;
 namespace document = quetzal::document;
+namespace explain = quetzal::explain;
 namespace fleet = quetzal::fleet;
 namespace platform = quetzal::platform;
 namespace promote = quetzal::promote;
@@ -26,7 +29,8 @@
 struct Options
 {
   std::string command_;
-  std::string file_;
+  std::string file_; ///< The document; for explain, the name of a job or host.
+  std::vector<std::string> logs_;
   std::string platform_;
   std::string tried_;
   bool json_ = false;
@@ -113,6 +117,38 @@
   return Report(result);
 }
 
+void
+AddRecords(std::istream& aLog, explain::HistoryBuilder& aHistory)
+{
+  std::string line;
+  while (std::getline(aLog, line)) {
+    if (const auto record = explain::ParseLogRecord(line)) {
+      aHistory.Add(*record);
+    }
+  }
+}
+
+/** Prints what logs say about a job or a host; they are read from standard input if no file is
+ * named. */
+int
+Explain(const Options& aOptions)
+{
+  explain::HistoryBuilder builder(explain::MakeSubject(aOptions.file_));
+  if (aOptions.logs_.empty()) {
+    AddRecords(std::cin, builder);
+  }
+  for (const std::string& file : aOptions.logs_) {
+    std::ifstream log(file);
+    if (!log) {
+      throw SettingsError(file, 0, "logs", "a file that can be read");
+    }
+    AddRecords(log, builder);
+  }
+  const explain::History history = builder.Build();
+  std::cout << explain::ToText(history);
+  return history.records_.empty() ? quetzal::process::kExitFailure : 0;
+}
+
 Options
 ParseOptions(int aCount, char** aArguments)
 {
@@ -127,20 +163,34 @@
     "accept-risk",
     "promote: even if a promise is at risk or a host cannot be maintained",
     line);
-  std::vector<std::string> commands{ "check", "trial", "promote" };
+  std::vector<std::string> commands{ "check", "trial", "promote", "explain" };
   TCLAP::ValuesConstraint<std::string> allowed(commands);
   TCLAP::UnlabeledValueArg<std::string> command(
     "command", "The command to run", true, "", &allowed, line);
   TCLAP::UnlabeledValueArg<std::string> file(
-    "file", "The document (YAML)", true, "", "document", line);
+    "subject",
+    "The document (YAML); explain: a job's id or a host's name",
+    true,
+    "",
+    "subject",
+    line);
+  TCLAP::UnlabeledMultiArg<std::string> logs(
+    "logs", "explain: the logs of all processes (standard input if none)", false, "log", line);
   line.parse(aCount, aArguments);
-  return { command.getValue(), file.getValue(), platform.getValue(),
+  if (!logs.getValue().empty() && command.getValue() != "explain") {
+    throw SettingsError(
+      logs.getValue().front(), 0, "logs", "no further file, as only explain reads logs");
+  }
+  return { command.getValue(), file.getValue(), logs.getValue(),      platform.getValue(),
            tried.getValue(),   json.getValue(), acceptRisk.getValue() };
 }
 
 int
 Execute(const Options& aOptions)
 {
+  if (aOptions.command_ == "explain") {
+    return Explain(aOptions);
+  }
   const Input input = ReadInput(aOptions.file_);
   if (aOptions.command_ == "check") {
     return Check(input);
--- /dev/null
+++ b/tests/unit/ExplainTest.cpp
@@ -0,0 +1,163 @@
+#include "include/quetzal/explain/Conclusion.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace quetzal::explain;
+
+const std::string kJob = "0123456789abcdef";
+
+/** Returns a line as log::Write writes it. @param aMilliseconds since a whole second. */
+std::string
+Line(int aMilliseconds, const std::string& aProcess, const std::string& aText)
+{
+  const std::string fraction = std::to_string(1'000'000 + aMilliseconds % 1'000 * 1'000).substr(1);
+  return std::to_string(1'789'313'300 + aMilliseconds / 1'000) + "." + fraction + " " + aProcess +
+         " info cell: " + aText;
+}
+
+History
+HistoryOf(const std::string& aSubject, const std::vector<std::string>& aLines)
+{
+  HistoryBuilder builder(MakeSubject(aSubject));
+  for (const std::string& line : aLines) {
+    if (const auto record = ParseLogRecord(line)) {
+      builder.Add(*record);
+    }
+  }
+  return builder.Build();
+}
+
+bool
+Says(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+BOOST_AUTO_TEST_SUITE(Explaining)
+
+BOOST_AUTO_TEST_CASE(Line_OfACollectorWithItsOwnPrefix_IsParsed)
+{
+  const auto record =
+    ParseLogRecord("  -6.87 a-1 1789313308.045043 a-1 info cell: event=x cell=c why=\"a b\" n=2");
+  BOOST_TEST_REQUIRE(record.has_value());
+  const LogRecord expected{ 1'789'313'308'045'043,
+                            "a-1",
+                            "info",
+                            "cell",
+                            "x",
+                            { { "cell", "c" }, { "why", "a b" }, { "n", "2" } } };
+  BOOST_TEST((*record == expected));
+}
+
+BOOST_AUTO_TEST_CASE(Lines_NotOfALog_AreNoRecords)
+{
+  for (const char* line : { "",
+                            "event=",
+                            "event=x",
+                            "ready",
+                            "info cell: event=x",
+                            "12.5 a info cell: event=x",
+                            "12.1234567 a info cell: event=x",
+                            "x.123456 a info cell: event=x",
+                            "1.123456 a info cell event=x" }) {
+    BOOST_TEST(!ParseLogRecord(line).has_value(), line);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Fields_CutShort_AreReadAsFarAsTheyGo)
+{
+  const auto record = ParseLogRecord("1.123456 a info cell: event=x why=\"cut sho");
+  BOOST_TEST_REQUIRE(record.has_value());
+  BOOST_TEST(ValueOf(*record, "why") == "cut sho");
+  BOOST_TEST(ParseLogRecord("1.123456 a info cell: event=x word =").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Job_OfLogsOfTwoHosts_IsShownInTheOrderOfTime)
+{
+  const History history =
+    HistoryOf(kJob,
+              { Line(900, "b", "event=job-ended job=" + kJob + " state=completed after_ms=900"),
+                Line(100, "a", "event=task-start cell=c task=" + kJob + ".0.0.1 worker=w"),
+                Line(100, "a", "event=task-start cell=c task=ffffffffffffffff.0.0.1 worker=w"),
+                Line(0, "a", "event=job-accepted cell=c job=" + kJob) });
+  BOOST_TEST_REQUIRE(history.records_.size() == 3U);
+  BOOST_TEST(history.records_.front().event_ == "job-accepted");
+  BOOST_TEST(history.records_.back().process_ == "b");
+  BOOST_TEST(Says(ConclusionOf(history), "ended as completed after 900 ms"));
+}
+
+BOOST_AUTO_TEST_CASE(Job_CellHasANewOwnerInItsLongestWait_IsTheCause)
+{
+  const std::vector<std::string> lines{
+    Line(0, "a", "event=job-accepted cell=c job=" + kJob),
+    Line(200, "a", "event=released key=quetzal/live/cell/c status=succeeded"),
+    Line(300, "a", "event=released key=quetzal/live/cell/other status=succeeded"),
+    Line(1'800, "b", "event=cell-begun cell=c fence=7 jobs=1 roster=2"),
+    Line(2'000, "b", "event=task-start cell=c task=" + kJob + ".0.0.0 run=1 worker=w"),
+    Line(2'600, "b", "event=job-ended cell=c job=" + kJob + " state=completed after_ms=2600"),
+    Line(3'000, "a", "event=cell-begun cell=c fence=8 jobs=0 roster=2")
+  };
+  const History history = HistoryOf(kJob, lines);
+  BOOST_TEST(history.records_.size() == 5U);
+  BOOST_TEST(Says(ConclusionOf(history), "2000 ms from job-accepted"));
+  BOOST_TEST(Says(ConclusionOf(history), "its cell c changed its owner"));
+}
+
+BOOST_AUTO_TEST_CASE(Job_ItsWorkerIsSilent_IsTheCause)
+{
+  const History history =
+    HistoryOf(kJob,
+              { Line(0, "a", "event=job-accepted cell=c job=" + kJob),
+                Line(10, "a", "event=task-start cell=c task=" + kJob + ".0.0.0 run=1 worker=w"),
+                Line(900, "a", "event=worker-silent worker=w status=no-answer runs=1"),
+                Line(950, "a", "event=worker-silent worker=x status=no-answer runs=1"),
+                Line(9'000, "a", "event=cell-begun cell=other fence=1 jobs=0 roster=0") });
+  BOOST_TEST(Says(ConclusionOf(history), "its end is not in these logs"));
+  BOOST_TEST(Says(ConclusionOf(history), "8990 ms from task-start"));
+  BOOST_TEST(Says(ConclusionOf(history), "worker w did not answer"));
+}
+
+BOOST_AUTO_TEST_CASE(Job_LinesOfItsOwnerAreMissingInItsLongestWait_SaysSo)
+{
+  const History history = HistoryOf(
+    kJob,
+    { Line(0, "a", "event=job-accepted cell=c job=" + kJob),
+      Line(100, "b", "event=log-dropped lines=3"),
+      Line(200, "a", "event=log-dropped lines=9"),
+      Line(900, "a", "event=job-ended cell=c job=" + kJob + " state=completed after_ms=900") });
+  BOOST_TEST(history.records_.size() == 3U);
+  BOOST_TEST(Says(ConclusionOf(history), "a dropped lines in that time"));
+}
+
+BOOST_AUTO_TEST_CASE(Job_WasRefused_SaysSo)
+{
+  const History history =
+    HistoryOf(kJob, { Line(0, "a", "event=request-answered job=" + kJob + " verdict=refused") });
+  BOOST_TEST(Says(ConclusionOf(history), "not accepted; its last answer was refused"));
+}
+
+BOOST_AUTO_TEST_CASE(Host_OfLogs_CountsItsWarnings)
+{
+  std::vector<std::string> lines{ Line(0, "a", "event=stop cells=1"),
+                                  Line(3'200, "a", "event=end idle=1 open=0") };
+  for (int i = 0; i < 3; ++i) {
+    lines.push_back("1789313301.000001 b warning peers: event=call-timeout peer=a calls=1");
+  }
+  const History history = HistoryOf("a", lines);
+  BOOST_TEST(history.records_.size() == 5U);
+  BOOST_TEST(Says(ConclusionOf(history), "stopped with 0 open requests"));
+  BOOST_TEST(Says(ConclusionOf(history), "call-timeout (3)"));
+}
+
+BOOST_AUTO_TEST_CASE(Subject_InNoLine_IsSaidToBeUnknown)
+{
+  const History history = HistoryOf(kJob, { Line(0, "a", "event=start") });
+  BOOST_TEST(history.records_.empty());
+  BOOST_TEST(Says(ToText(history), "No line of these logs names " + kJob));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
