Under load, logs drop the lines of single tasks first

Change: lines of single tasks have the level `detail`, which is dropped beyond 512 KB in a second as before; the others (owners, stops, jobs, the fleet) are dropped beyond 1 MB only, warnings never. `log-dropped` counts each line, also those that a slow reader of the pipe makes the process drop; these counted as one.

--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -89,19 +89,19 @@
   UpdateFailureScore(aEntry, aKind);
   SchedulePlacement();
   jobs::Job* found = jobs_.Find(aTask.job_);
-  log::Info("cell",
-            "event=task-ended cell=",
-            service_,
-            " task=",
-            jobs::ToString(aTask),
-            " run=",
-            aRun,
-            " how=",
-            jobs::ToString(aKind),
-            " worker=",
-            id,
-            " number=",
-            aNumber);
+  log::Detail("cell",
+              "event=task-ended cell=",
+              service_,
+              " task=",
+              jobs::ToString(aTask),
+              " run=",
+              aRun,
+              " how=",
+              jobs::ToString(aKind),
+              " worker=",
+              id,
+              " number=",
+              aNumber);
   if (found == nullptr) {
     confirm();
     return;
@@ -138,15 +138,15 @@
 void
 Cell::OnStartFailed(const jobs::TaskId& aTask, std::int64_t aRun, workers::OrderStatus aReason)
 {
-  log::Info("cell",
-            "event=start-ended cell=",
-            service_,
-            " task=",
-            jobs::ToString(aTask),
-            " run=",
-            aRun,
-            " why=",
-            workers::ToString(aReason));
+  log::Detail("cell",
+              "event=start-ended cell=",
+              service_,
+              " task=",
+              jobs::ToString(aTask),
+              " run=",
+              aRun,
+              " why=",
+              workers::ToString(aReason));
   context_.metrics_->Add("quetzal_starts_ended_total", { { "why", workers::ToString(aReason) } });
   if (aReason == workers::OrderStatus::kNoTicket) {
     tickets_.Expire(jobs::StepName(aTask.job_, aTask.occurrence_, aTask.step_));
@@ -176,15 +176,15 @@
   aEntry.worker_->Adopt(aTask.task_, run);
   jobs::Place(*job, aTask.task_, aEntry.worker_->Registration().id_, aTask.run_, Now());
   jobs_.Update(*job);
-  log::Info("cell",
-            "event=task-adopted cell=",
-            service_,
-            " task=",
-            jobs::ToString(aTask.task_),
-            " run=",
-            aTask.run_,
-            " worker=",
-            aEntry.worker_->Registration().id_);
+  log::Detail("cell",
+              "event=task-adopted cell=",
+              service_,
+              " task=",
+              jobs::ToString(aTask.task_),
+              " run=",
+              aTask.run_,
+              " worker=",
+              aEntry.worker_->Registration().id_);
 }
 
 void
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -303,15 +303,15 @@
     aEntry.speedCheckedAt_ = Now();
     const int speedPercent = sharing::NextSpeedPercent(aEntry.speedPercent_, latencySensitive);
     if (speedPercent != aEntry.speedPercent_) {
-      log::Info("cell",
-                "event=pace cell=",
-                service_,
-                " worker=",
-                aEntry.worker_->Registration().id_,
-                " from=",
-                aEntry.speedPercent_,
-                " to=",
-                speedPercent);
+      log::Detail("cell",
+                  "event=pace cell=",
+                  service_,
+                  " worker=",
+                  aEntry.worker_->Registration().id_,
+                  " from=",
+                  aEntry.speedPercent_,
+                  " to=",
+                  speedPercent);
     }
     aEntry.speedPercent_ = speedPercent;
   }
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -297,7 +297,7 @@
       "quetzal_job_wait_seconds", { { "service", service_ } }, Now() - aJob.arrivedAt_);
   }
   jobs::Place(aJob, aTask, worker, aRun, Now());
-  log::Info(
+  log::Detail(
     "cell",
     "event=task-start cell=",
     service_,
@@ -440,17 +440,17 @@
     WorkerEntry& entry = *aEntries[*chosen];
     const std::string worker = entry.worker_->Registration().id_;
     const std::int64_t run = nextRun_++;
-    log::Info("cell",
-              "event=task-copied cell=",
-              service_,
-              " task=",
-              jobs::ToString(id),
-              " run=",
-              run,
-              " worker=",
-              worker,
-              " beside=",
-              task.worker_);
+    log::Detail("cell",
+                "event=task-copied cell=",
+                service_,
+                " task=",
+                jobs::ToString(id),
+                " run=",
+                run,
+                " worker=",
+                worker,
+                " beside=",
+                task.worker_);
     context_.metrics_->Add("quetzal_copies_total", { { "service", service_ } });
     const workers::StartOrder order = OrderFor(aJob, id, run, worker);
     jobs::PlaceCopy(aJob, id, worker, run, aNow);
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -149,13 +149,13 @@
 void
 Worker::StopOrphan(const jobs::TaskId& aTask, std::int64_t aRun)
 {
-  log::Info("worker",
-            "event=stray-stopped worker=",
-            registration_.id_,
-            " task=",
-            jobs::ToString(aTask),
-            " run=",
-            aRun);
+  log::Detail("worker",
+              "event=stray-stopped worker=",
+              registration_.id_,
+              " task=",
+              jobs::ToString(aTask),
+              " run=",
+              aRun);
   port_->Stop(aTask, aRun, fence_, [this](const workers::OrderReply& aReply) {
     if (aReply.status_ == workers::OrderStatus::kFenced) {
       Q_EMIT Fenced();
--- a/src/log/Log.cpp
+++ b/src/log/Log.cpp
@@ -1,5 +1,7 @@
 #include "include/quetzal/log/Log.h"
 
+#include "include/quetzal/log/LineBudget.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/log/core.hpp>
@@ -17,27 +19,18 @@
 
 namespace quetzal::log {
 
-static const char*
-NameOf(Level aLevel)
-{
-  static constexpr std::array<const char*, 4> kNames = { "debug", "info", "warning", "error" };
-  return kNames.at(static_cast<std::size_t>(aLevel));
-}
-
 // This operator must be in the namespace of Level, because Boost.Log finds it only by
 // argument-dependent lookup.
 static std::ostream&
 operator<<(std::ostream& aStream, Level aLevel)
 {
-  return aStream << NameOf(aLevel);
+  return aStream << ToString(aLevel);
 }
 
 namespace {
 
 namespace logging = boost::log;
 
-/** Output limit per second. Further lines below warning level are dropped. */
-constexpr std::size_t kMaxBytesPerSecond = 512 * 1024;
 /** Limit of one write: a pipe accepts this many bytes without splitting them. */
 constexpr std::size_t kMaxWriteBytes = 4'096;
 /** Limit of the buffer. When the buffer exceeds this limit, its lines are written at once. If the
@@ -65,25 +58,15 @@
     }
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     const auto second = std::chrono::duration_cast<std::chrono::seconds>(now);
-    if (second != second_) {
-      BeginSecond(second);
+    if (second != budget_.second_) {
+      AdvanceTo(budget_, second);
+      ReportDroppedLines();
     }
-    if (bytesThisSecond_ > kMaxBytesPerSecond && aLevel < Level::kWarning) {
-      ++droppedLines_;
+    const std::string line = MakeLine(now, aLevel, aPart, aText);
+    if (!TakeLine(budget_, aLevel, line.size())) {
       return;
     }
-    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(now - second);
-    std::array<char, 64> prefix{};
-    const int length = std::snprintf(prefix.data(),
-                                     prefix.size(),
-                                     "%lld.%06lld ",
-                                     static_cast<long long>(second.count()),
-                                     static_cast<long long>(micros.count()));
-    const std::size_t sizeBefore = batch_.size();
-    batch_.append(prefix.data(), static_cast<std::size_t>(length)).append(process_);
-    batch_.append(" ").append(NameOf(aLevel)).append(" ").append(aPart).append(": ");
-    batch_.append(aText).append("\n");
-    bytesThisSecond_ += batch_.size() - sizeBefore;
+    batch_.append(line);
     if (batch_.size() > kMaxBatchBytes) {
       Write();
     }
@@ -107,31 +90,47 @@
     }
     batch_.erase(0, offset);
     if (batch_.size() > kMaxBatchBytes) {
-      // The reader of the pipe is too slow, so the oldest lines are dropped. All lines dropped here
-      // are counted as one line.
-      const std::size_t end = batch_.find('\n', batch_.size() - kMaxBatchBytes);
-      batch_.erase(0, end == std::string::npos ? batch_.size() : end + 1);
-      ++droppedLines_;
+      // The reader of the pipe is too slow, so the oldest lines are dropped.
+      const std::size_t newline = batch_.find('\n', batch_.size() - kMaxBatchBytes);
+      const std::size_t end = newline == std::string::npos ? batch_.size() : newline + 1;
+      const auto dropped =
+        std::count(batch_.begin(), batch_.begin() + static_cast<std::ptrdiff_t>(end), '\n');
+      budget_.droppedLines_ += static_cast<std::size_t>(dropped);
+      batch_.erase(0, end);
     }
   }
 
 private:
-  void BeginSecond(std::chrono::seconds aSecond)
+  std::string MakeLine(std::chrono::system_clock::duration aTime,
+                       Level aLevel,
+                       const char* aPart,
+                       const std::string& aText) const
+  {
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(aTime);
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(aTime - second);
+    std::array<char, 64> time{};
+    const int length = std::snprintf(time.data(),
+                                     time.size(),
+                                     "%lld.%06lld ",
+                                     static_cast<long long>(second.count()),
+                                     static_cast<long long>(micros.count()));
+    std::string line(time.data(), static_cast<std::size_t>(length));
+    line.append(process_).append(" ").append(ToString(aLevel)).append(" ").append(aPart);
+    return line.append(": ").append(aText).append("\n");
+  }
+
+  void ReportDroppedLines()
   {
-    second_ = aSecond;
-    bytesThisSecond_ = 0;
-    if (droppedLines_ > 0) {
-      const std::size_t dropped = droppedLines_;
-      droppedLines_ = 0;
+    if (budget_.droppedLines_ > 0) {
+      const std::size_t dropped = budget_.droppedLines_;
+      budget_.droppedLines_ = 0;
       Add(Level::kWarning, "log", "event=log-dropped lines=" + std::to_string(dropped));
     }
   }
 
   std::string process_;
   std::string batch_;
-  std::chrono::seconds second_{ 0 };
-  std::size_t bytesThisSecond_ = 0;
-  std::size_t droppedLines_ = 0;
+  LineBudget budget_;
   Level minLevel_ = Level::kInfo;
   bool isOpen_ = false;
 };
