Ending a job reads its id before the job is destroyed

What callers saw: nothing; quetzal-jobd passes a copy of the id. The test Overload/TwiceAsManyJobsAsRoom_... passes the job's own id, and ended twice with std::bad_alloc in a whole unit run.

Cause: JobRegistry::End took the id by reference, removed the job, and then used the id as the key of its end. If the id belongs to the job, its bytes have been freed by then: the copy of the string took whatever length and pointer the memory held.

The new test JobRegistryTest/End_IdBelongsToTheJobThatEnds_IsKnownByItsId, with an id whose bytes are on the heap, failed in both of two runs before ("check (jobs_.FindEnded(id) != nullptr) has failed") and passes after. valgrind over Overload and JobRegistryTest reports 0 errors after. That the two bad_alloc came from this read is inferred: neither was repeated.

Change: End copies the id before it removes the job.

--- a/include/quetzal/jobs/JobRegistry.h
+++ b/include/quetzal/jobs/JobRegistry.h
@@ -44,7 +44,7 @@
   /** Removes a job that was not accepted. */
   void Remove(const std::string& aId);
 
-  /** Replaces a job by its end. */
+  /** Replaces a job by its end. @param aId may refer to the job's own id. */
   void End(const std::string& aId, const EndedJob& aEnd);
 
   /** Removes and returns ended jobs, the oldest first. @param aBeforeMs only those that ended
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -76,8 +76,10 @@
 void
 JobRegistry::End(const std::string& aId, const EndedJob& aEnd)
 {
-  Remove(aId);
-  AddEnded(aId, aEnd);
+  // The id may belong to the job, which is destroyed.
+  const std::string id = aId;
+  Remove(id);
+  AddEnded(id, aEnd);
 }
 
 std::vector<std::string>
--- a/tests/unit/JobRegistryTest.cpp
+++ b/tests/unit/JobRegistryTest.cpp
@@ -67,6 +67,15 @@
   BOOST_TEST((*end == EndedJob{ JobState::kCompleted, 5 }));
 }
 
+/** The bytes of a long id are freed with its job. */
+BOOST_AUTO_TEST_CASE(End_IdBelongsToTheJobThatEnds_IsKnownByItsId)
+{
+  const std::string id(20, 'a');
+  const Job& job = jobs_.Add(MakeStored(id));
+  jobs_.End(job.id_, { JobState::kCompleted, 5 });
+  BOOST_TEST((jobs_.FindEnded(id) != nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(EndedJobs_OfSeveralAges_ExpireOldestFirst)
 {
   jobs_.AddEnded("young", { JobState::kFailed, 30 });
