A request that has its answer is not attempted again

What callers could see: a submission was answered 504 ("outcome unknown"), the caller cancelled the job and was told 410, and up to 150 ms after the 504 the submission was sent once more and the job ran all the same.

Cause: the next attempt is a timer of 150 ms. Retry() asks whether the request is open when it starts the timer, and Route() did not ask when the timer fired. OpenRequests answers in between, at the end of the request's time or when a stopping process gives its last answers. Such an attempt has also lost doubtfulOwner_: it begins from the request as it first came.

Evidence, on the code before: RequestsAtARefusingOwner/ Submit_AnsweredWhileTheNextAttemptIsDue_IsNotAttemptedAgain: check calls_ == callsBefore has failed [11 != 10].

Change: Route() drops a request that is no longer open.

After: the test passes, with the other tests of NodeOfAnEntryHost, RequestsAtARefusingOwner and CallsOfOtherHosts.

Conclusion: no attempt begins after the answer. An attempt that was sent before it may still be carried out, as a 504 says.

--- a/src/node/RequestRouter.cpp
+++ b/src/node/RequestRouter.cpp
@@ -101,6 +101,9 @@
 void
 RequestRouter::Route(const JobRequest& aRequest, const cells::AnswerCallback& aDone)
 {
+  if (!requests_.IsOpen(aRequest.number_)) {
+    return; // A submission must not run after its caller was answered, and may have cancelled it.
+  }
   const cells::AnswerCallback onAnswer =
     [this, aRequest, aDone, sentAt = Now()](const cells::Answer& aAnswer) {
       OnAnswer(aRequest, sentAt, aAnswer, aDone);
--- a/tests/unit/NodeProcessTest.cpp
+++ b/tests/unit/NodeProcessTest.cpp
@@ -87,6 +87,16 @@
     return true;
   }
 
+  /** Lets time pass while the store answers nothing. */
+  static void ProcessEventsFor(std::chrono::milliseconds aTime)
+  {
+    QElapsedTimer timer;
+    timer.start();
+    while (timer.elapsed() < aTime.count()) {
+      QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+    }
+  }
+
   bool IsOwned() const { return store_.RevisionOf(CellKey("svc")) != 0; }
   bool IsFleetOwned() const { return store_.RevisionOf(CellKey(kFleetCell)) != 0; }
 
@@ -321,6 +331,14 @@
   BOOST_TEST(calls_ > 1);
 }
 
+BOOST_AUTO_TEST_CASE(Submit_AnsweredWhileTheNextAttemptIsDue_IsNotAttemptedAgain)
+{
+  BOOST_TEST((Submit() == cells::AnswerStatus::kUnknownOutcome));
+  const int callsBefore = calls_;
+  ProcessEventsFor(500ms);
+  BOOST_TEST(calls_ == callsBefore);
+}
+
 BOOST_AUTO_TEST_CASE(Submit_FirstAttemptIsRefused_IsRefusedAtOnce)
 {
   calls_ = 1;
