A stopping entry host without callers stays until its cells are released

What callers could see: refusals for up to the lease term (3 s) while a host that has stopped still owns a cell.

Cause: MayExit() looked at callers only. With no caller waiting, a process exits 3.2 s after the stop signal, whether or not the store has answered the releases or a claim of the fleet. If the store was slow for that long, the keys stayed until the lease ended, and the orders of earlier owners of the fleet were not handed over.

Evidence, on the code before: NodeOfAnEntryHost/ Stop_StoreIsSlow_ProcessStaysUntilItsCellsAreReleased: check !process_->MayExit(true), !IsOwned() and !IsFleetOwned() have failed. Stop_StoreIsAway_ProcessExitsInTime passed before and after.

Change: until its exit is due in any case, the process stays while it has cells, the fleet, claims or releases without an answer, or while the membership shows a cell of its own.

After: both tests pass. JobsAtAPlannedStop and JobsOnThePlatform/EntryHosts_StoppedInTurn_HandTheirCellsOver pass.

Conclusion: the bound of the stop is as before. A store that is away until the exit still leaves the keys to the lease.

--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -46,8 +46,9 @@
   bool IsReady() const override;
   bool IsStopping() const { return stopping_; }
 
-  /** Returns whether a process that is stopping may exit. @param aIsIdle no caller waits for an
-   * answer or still receives one. */
+  /** Returns whether a process that is stopping may exit. Until its stop time is over, it stays to
+   * release what it owns: nobody else serves that before its lease ends. @param aIsIdle no caller
+   * waits for an answer or still receives one. */
   bool MayExit(bool aIsIdle) const;
 
   /** Returns how many cells this process is claiming. */
@@ -96,6 +97,8 @@
   void AbandonClaim(const std::string& aCell);
   void AbandonClaims();
   void ReleaseUnservedCells();
+  /** Returns whether this process owns nothing, as far as it knows. */
+  bool HasReleasedAll() const;
   void HandOverFleet();
   void Release(const std::string& aKey,
                std::int64_t aRevision,
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -465,7 +465,14 @@
 bool
 NodeProcess::MayExit(bool aIsIdle) const
 {
-  return stopping_ && process::MayExit(stopSchedule_, SinceStop(), aIsIdle);
+  return stopping_ && process::MayExit(stopSchedule_, SinceStop(), aIsIdle && HasReleasedAll());
+}
+
+bool
+NodeProcess::HasReleasedAll() const
+{
+  return cells_.empty() && fleet_ == nullptr && claims_.empty() && releasing_.empty() &&
+         membership_.OwnCells().empty();
 }
 
 void
--- a/tests/unit/NodeProcessTest.cpp
+++ b/tests/unit/NodeProcessTest.cpp
@@ -187,6 +187,25 @@
   BOOST_TEST(after.lastOrderMs_.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(Stop_StoreIsSlow_ProcessStaysUntilItsCellsAreReleased)
+{
+  BOOST_TEST_REQUIRE(AnswerUntil([this] { return IsOwned() && process_->ClaimsInFlight() == 0; }));
+  process_->Stop();
+  ProcessEventsFor(3'400ms);
+  BOOST_TEST(!process_->MayExit(true));
+  BOOST_TEST(AnswerUntil([this] { return process_->MayExit(true); }, 1'000ms));
+  BOOST_TEST(!IsOwned());
+  BOOST_TEST(!IsFleetOwned());
+}
+
+BOOST_AUTO_TEST_CASE(Stop_StoreIsAway_ProcessExitsInTime)
+{
+  BOOST_TEST_REQUIRE(AnswerUntil([this] { return IsOwned() && process_->ClaimsInFlight() == 0; }));
+  process_->Stop();
+  ProcessEventsFor(5'300ms);
+  BOOST_TEST(process_->MayExit(false));
+}
+
 BOOST_AUTO_TEST_CASE(Stop_CellIsOwned_ReleasesTheCellAtOnce)
 {
   BOOST_TEST_REQUIRE(AnswerUntil([this] { return IsOwned() && process_->ClaimsInFlight() == 0; }));
