Test: a stopping entry host that is paused past its last answer answers its callers

Passes on the code as it was, too: nothing held it so far. The check of the stop and the last answers are due at the same moment when the process resumes, and both must take place before it ends.

--- a/tests/integration/JobsStopTest.cpp
+++ b/tests/integration/JobsStopTest.cpp
@@ -64,6 +64,23 @@
   BOOST_TEST(jobs_.Entry(kStopping).Wait() == 0);
 }
 
+/** The host has no time to run when its last answers are due. */
+BOOST_AUTO_TEST_CASE(Requests_HostIsPausedUntilItHasToEnd_AreAllAnswered)
+{
+  PauseUntil(3'000ms);
+  const auto calls = BeginSubmits(31, 34);
+  PauseUntil(3'300ms);
+  jobs_.Entry(kStopping).Signal(SIGSTOP);
+  PauseUntil(5'400ms);
+  jobs_.Entry(kStopping).Signal(SIGCONT);
+  for (const auto& call : calls) {
+    const auto& answer = call->Wait();
+    BOOST_TEST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->status_ == kGatewayTimeout);
+  }
+  BOOST_TEST(jobs_.Entry(kStopping).Wait() == 0);
+}
+
 /** A request that arrives shortly before the process ends is refused at once, and never runs. */
 BOOST_AUTO_TEST_CASE(Requests_ComeTooLateForTheHost_AreRefusedAtOnceAndNeverRun)
 {
