--- a/tests/unit/NodeProcessTest.cpp
+++ b/tests/unit/NodeProcessTest.cpp
@@ -87,6 +87,16 @@
     return true;
   }
 
+  /** Lets time pass while the store answers nothing. */
+  static void ProcessEventsFor(std::chrono::milliseconds aTime)
+  {
+    QElapsedTimer timer;
+    timer.start();
+    while (timer.elapsed() < aTime.count()) {
+      QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+    }
+  }
+
   bool IsOwned() const { return store_.RevisionOf(CellKey("svc")) != 0; }
   bool IsFleetOwned() const { return store_.RevisionOf(CellKey(kFleetCell)) != 0; }
 
@@ -177,6 +187,25 @@
   BOOST_TEST(after.lastOrderMs_.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(Stop_StoreIsSlow_ProcessStaysUntilItsCellsAreReleased)
+{
+  BOOST_TEST_REQUIRE(AnswerUntil([this] { return IsOwned() && process_->ClaimsInFlight() == 0; }));
+  process_->Stop();
+  ProcessEventsFor(3'400ms);
+  BOOST_TEST(!process_->MayExit(true));
+  BOOST_TEST(AnswerUntil([this] { return process_->MayExit(true); }, 1'000ms));
+  BOOST_TEST(!IsOwned());
+  BOOST_TEST(!IsFleetOwned());
+}
+
+BOOST_AUTO_TEST_CASE(Stop_StoreIsAway_ProcessExitsInTime)
+{
+  BOOST_TEST_REQUIRE(AnswerUntil([this] { return IsOwned() && process_->ClaimsInFlight() == 0; }));
+  process_->Stop();
+  ProcessEventsFor(5'300ms);
+  BOOST_TEST(process_->MayExit(false));
+}
+
 BOOST_AUTO_TEST_CASE(Stop_CellIsOwned_ReleasesTheCellAtOnce)
 {
   BOOST_TEST_REQUIRE(AnswerUntil([this] { return IsOwned() && process_->ClaimsInFlight() == 0; }));
@@ -321,6 +350,14 @@
   BOOST_TEST(calls_ > 1);
 }
 
+BOOST_AUTO_TEST_CASE(Submit_AnsweredWhileTheNextAttemptIsDue_IsNotAttemptedAgain)
+{
+  BOOST_TEST((Submit() == cells::AnswerStatus::kUnknownOutcome));
+  const int callsBefore = calls_;
+  ProcessEventsFor(500ms);
+  BOOST_TEST(calls_ == callsBefore);
+}
+
 BOOST_AUTO_TEST_CASE(Submit_FirstAttemptIsRefused_IsRefusedAtOnce)
 {
   calls_ = 1;
