Callers of a stopping job host are answered until listening has ended

Cause: the process exited as soon as no request was open, or at the end of its stop time, while it was still listening. Connections in the kernel's backlog, unread requests, requests that had arrived in part and new connections whose first request was on its way were closed.

Change: PlannedStop ends listening once the process is idle after its minimum serving time, at the latest when the last answer is due; the shared http::Server takes the backlog and closes what is idle, as it did for quetzal-entryd, and gives a connection without any request 150 ms for its first. Requests still incomplete when the last answer is due get 408. The process exits when every connection is closed, at the latest at the schedule's exit.

Not covered: a connection that the kernel accepts between the last accept and the close of the listening socket is reset, and a request that crosses the close of an idle connection gets no answer.

--- a/include/quetzal/http/Server.h
+++ b/include/quetzal/http/Server.h
@@ -26,9 +26,15 @@
   /** Starts listening. @throws ListenError. */
   void Listen(const settings::Endpoint& aEndpoint);
 
-  /** Stops listening; accepted connections stay open. */
+  /** Stops listening, and closes each connection once it carries no request
+   * (ServerConnection::CloseIfIdle). Connections that the kernel has accepted are served. */
   void StopListening();
 
+  /** Ends the requests that have only partly arrived (ServerConnection::EndReading). */
+  void EndReading();
+
+  bool IsListening() const { return listener_.isListening(); }
+
   /** Returns the open connections. */
   QList<ServerConnection*> Connections() const;
 
--- a/include/quetzal/http/ServerConnection.h
+++ b/include/quetzal/http/ServerConnection.h
@@ -40,11 +40,18 @@
   void CloseAfterAnswer();
 
   /** Closes the connection if it carries no request, otherwise after the current or next response.
-   */
+   * A new connection has a short time for its first request, which may be on its way. */
   void CloseIfIdle();
 
+  /** If part of a request has arrived, emits RequestTooSlow(). */
+  void EndReading();
+
+  /** Returns whether a request waits for its response. */
   bool IsBusy() const { return phase_ == Phase::kBusy; }
 
+  /** Returns whether part of a request has arrived. */
+  bool IsReading() const { return phase_ == Phase::kReading; }
+
   /** Returns whether part of a response has not been given to the network yet. */
   bool HasUnsentBytes() const;
 
@@ -71,6 +78,7 @@
   };
 
   void Read();
+  void CloseUnlessReadable();
   void Linger();
   void OnTimeout();
   void OnDisconnected();
@@ -84,6 +92,7 @@
   bool isHead_ = false;
   bool keepAlive_ = true;
   bool closeAfterAnswer_ = false;
+  bool hasReceived_ = false;
 };
 
 } // namespace quetzal::http
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -46,6 +46,12 @@
   bool IsReady() const override;
   bool IsStopping() const { return stopping_; }
 
+  /** Returns whether a process that is stopping ends listening. @param aIsIdle as for MayExit(). */
+  bool MayEndListening(bool aIsIdle) const;
+
+  /** Returns whether every caller of a process that is stopping must have its answer now. */
+  bool IsLastAnswerDue() const;
+
   /** Returns whether a process that is stopping may exit. @param aIsIdle no caller waits for an
    * answer or still receives one. */
   bool MayExit(bool aIsIdle) const;
--- a/include/quetzal/process/StopSchedule.h
+++ b/include/quetzal/process/StopSchedule.h
@@ -33,6 +33,11 @@
                   clock::Milliseconds aElapsed,
                   clock::Milliseconds aTimeout);
 
+/** Returns whether the process ends listening: it is idle after its minimum serving time, or every
+ * caller must have its answer now. @param aIsIdle as for MayExit(). */
+bool
+MayEndListening(const StopSchedule& aSchedule, clock::Milliseconds aElapsed, bool aIsIdle);
+
 /** Returns whether the process may exit. @param aIsIdle no caller waits for an answer or still
  * receives one. */
 bool
--- a/src/entry/CallerServer.cpp
+++ b/src/entry/CallerServer.cpp
@@ -209,9 +209,6 @@
 CallerServer::StopListening()
 {
   server_.StopListening();
-  for (http::ServerConnection* connection : server_.Connections()) {
-    connection->CloseIfIdle();
-  }
 }
 
 bool
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -41,6 +41,17 @@
     Accept();
   }
   listener_.close();
+  for (ServerConnection* connection : Connections()) {
+    connection->CloseIfIdle();
+  }
+}
+
+void
+Server::EndReading()
+{
+  for (ServerConnection* connection : Connections()) {
+    connection->EndReading();
+  }
 }
 
 QList<ServerConnection*>
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -13,6 +13,10 @@
  * connection. After this time, the connection is reset. */
 constexpr std::chrono::milliseconds kLingerTimeout{ 2'000 };
 
+/** How long a connection that was accepted shortly before the server closes it has for its first
+ * request. */
+constexpr std::chrono::milliseconds kFirstRequestTimeout{ 150 };
+
 } // namespace
 
 ServerConnection::ServerConnection(QTcpSocket* aSocket,
@@ -46,6 +50,7 @@
   if (readBuffer_.isEmpty()) {
     return;
   }
+  hasReceived_ = true;
   const bool isFirstPart = phase_ == Phase::kIdle;
   phase_ = Phase::kReading;
   const ReadState state = reader_.Feed(readBuffer_);
@@ -139,6 +144,16 @@
 ServerConnection::CloseIfIdle()
 {
   closeAfterAnswer_ = true;
+  if (!hasReceived_) {
+    deadline_.Set(kFirstRequestTimeout);
+    return;
+  }
+  CloseUnlessReadable();
+}
+
+void
+ServerConnection::CloseUnlessReadable()
+{
   // A request may have arrived that is still in the kernel's buffer.
   socket_->waitForReadyRead(0);
   if (phase_ == Phase::kIdle && socket_->bytesAvailable() == 0) {
@@ -146,6 +161,14 @@
   }
 }
 
+void
+ServerConnection::EndReading()
+{
+  if (phase_ == Phase::kReading) {
+    OnTimeout();
+  }
+}
+
 bool
 ServerConnection::HasUnsentBytes() const
 {
@@ -167,6 +190,10 @@
     Q_EMIT RequestTooSlow();
     return;
   }
+  if (phase_ == Phase::kIdle && closeAfterAnswer_) {
+    CloseUnlessReadable();
+    return;
+  }
   socket_->abort();
 }
 
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -462,6 +462,18 @@
   return std::chrono::duration_cast<clock::Milliseconds>(Now() - stopStartedAt_);
 }
 
+bool
+NodeProcess::MayEndListening(bool aIsIdle) const
+{
+  return stopping_ && process::MayEndListening(stopSchedule_, SinceStop(), aIsIdle);
+}
+
+bool
+NodeProcess::IsLastAnswerDue() const
+{
+  return stopping_ && SinceStop() >= stopSchedule_.lastAnswer_;
+}
+
 bool
 NodeProcess::MayExit(bool aIsIdle) const
 {
--- a/src/process/StopSchedule.cpp
+++ b/src/process/StopSchedule.cpp
@@ -37,6 +37,12 @@
   return std::min(aTimeout, remaining);
 }
 
+bool
+MayEndListening(const StopSchedule& aSchedule, clock::Milliseconds aElapsed, bool aIsIdle)
+{
+  return aElapsed >= aSchedule.lastAnswer_ || (aIsIdle && aElapsed >= aSchedule.minServingTime_);
+}
+
 bool
 MayExit(const StopSchedule& aSchedule, clock::Milliseconds aElapsed, bool aIsIdle)
 {
--- a/tests/harness/JobsDeployment.cpp
+++ b/tests/harness/JobsDeployment.cpp
@@ -18,6 +18,8 @@
 constexpr int kPlatformHost = 1;
 constexpr int kFirstEntry = 10;
 constexpr std::uint16_t kCallersPort = 8'000;
+constexpr std::uint16_t kReadinessPort = 8'001;
+constexpr std::uint16_t kMetricsPort = 8'002;
 constexpr std::uint16_t kControlPort = 8'623;
 
 std::string
@@ -42,6 +44,19 @@
   return writer.Bytes();
 }
 
+Request
+MakeJobRequest(const std::string& aMethod, const std::string& aId, const std::string& aBody)
+{
+  Request request;
+  request.method_ = aMethod;
+  // Jobs with even ids belong to queue "alpha", those with odd ids to "beta".
+  const bool isEven = aId.empty() || (aId.back() - '0') % 2 == 0;
+  request.target_ = (isEven ? "/alpha/" : "/beta/") + aId;
+  request.fields_ = { { "Host", "jobs.example" }, { "X-Quetzalwheel-Deadline", "3000" } };
+  request.body_ = aBody;
+  return request;
+}
+
 } // namespace
 
 JobsDeployment::JobsDeployment(int aEntryHosts, int aWorkers, int aTaskMs)
@@ -77,8 +92,9 @@
   std::ostringstream text;
   text << "name: entry-" << aIndex << "\naddress: " << address << "\navailability_zone: z"
        << aIndex % 3 << "\nfirst_port: 7000\ncallers: \"" << address << ':' << kCallersPort
-       << "\"\nready: \"" << address << ":8001\"\nmetrics_port: 8002\nstore: {address: \""
-       << platform << ":8621\"}\nmachines: {address: \"" << platform
+       << "\"\nready: \"" << address << ':' << kReadinessPort
+       << "\"\nmetrics_port: " << kMetricsPort << "\nstore: {address: \"" << platform
+       << ":8621\"}\nmachines: {address: \"" << platform
        << ":8622\", orders_per_second: 64, reads_per_second: 64}\n"
        << "stop_time_s: 6\nlongest_lease_ms: 6000\nfleet_order_gap_ms: 3000\nretention_s: 120\n"
        << "move_s: 1.5\nmaintenance_s: 2\nprocessor_share: 0.5\n";
@@ -104,14 +120,31 @@
                       const std::string& aId,
                       const std::string& aBody)
 {
-  Request request;
-  request.method_ = aMethod;
-  // Jobs with even ids belong to queue "alpha", those with odd ids to "beta".
-  const bool isEven = aId.empty() || (aId.back() - '0') % 2 == 0;
-  request.target_ = (isEven ? "/alpha/" : "/beta/") + aId;
-  request.fields_ = { { "Host", "jobs.example" }, { "X-Quetzalwheel-Deadline", "3000" } };
-  request.body_ = aBody;
-  return std::make_unique<Call>(Endpoint{ EntryAddress(aEntry), kCallersPort }, request);
+  return std::make_unique<Call>(Callers(aEntry), MakeJobRequest(aMethod, aId, aBody));
+}
+
+Endpoint
+JobsDeployment::Callers(int aIndex) const
+{
+  return { EntryAddress(aIndex), kCallersPort };
+}
+
+Endpoint
+JobsDeployment::Readiness(int aIndex) const
+{
+  return { EntryAddress(aIndex), kReadinessPort };
+}
+
+Endpoint
+JobsDeployment::Metrics(int aIndex) const
+{
+  return { EntryAddress(aIndex), kMetricsPort };
+}
+
+std::string
+JobsDeployment::SubmitBytes(const std::string& aId)
+{
+  return Serialize(MakeJobRequest("POST", aId, JobBody(1, false)));
 }
 
 std::optional<Response>
--- a/tests/harness/JobsDeployment.h
+++ b/tests/harness/JobsDeployment.h
@@ -21,6 +21,14 @@
   /** Waits until an entry host answers requests about the jobs of both queues. */
   bool WaitUntilServing(int aIndex);
 
+  /** Returns where an entry host takes callers' requests, its readiness checks and its metrics. */
+  Endpoint Callers(int aIndex) const;
+  Endpoint Readiness(int aIndex) const;
+  Endpoint Metrics(int aIndex) const;
+
+  /** Returns the bytes of a request that submits a job with one task. */
+  static std::string SubmitBytes(const std::string& aId);
+
   /** Submits a job. @return the status; 0 where the connection ended without an answer. */
   unsigned Submit(int aEntry, const std::string& aId, int aTasks, bool aLasting = false);
   /** Submits a job without waiting for the answer. */
--- a/tests/unit/StopScheduleTest.cpp
+++ b/tests/unit/StopScheduleTest.cpp
@@ -44,6 +44,18 @@
   BOOST_TEST(!TimeoutDuringStop(schedule_, schedule_.exit_ + 1'000ms, 3'000ms).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(Process_IsIdle_EndsListeningAfterItsMinimumServingTime)
+{
+  BOOST_TEST(!MayEndListening(schedule_, schedule_.minServingTime_ - 1ms, true));
+  BOOST_TEST(MayEndListening(schedule_, schedule_.minServingTime_, true));
+}
+
+BOOST_AUTO_TEST_CASE(Process_CallersWait_EndsListeningAtTheLastAnswer)
+{
+  BOOST_TEST(!MayEndListening(schedule_, schedule_.lastAnswer_ - 1ms, false));
+  BOOST_TEST(MayEndListening(schedule_, schedule_.lastAnswer_, false));
+}
+
 BOOST_AUTO_TEST_CASE(Process_IsIdle_ExitsAfterItsMinimumServingTime)
 {
   BOOST_TEST(!MayExit(schedule_, schedule_.minServingTime_ - 1ms, true));
