A repetition that an earlier owner has started is live, even if it is not due yet by this host's clock

What callers may see: a task of a repetition that is done runs again (TWICE). A host whose clock is behind takes a cell over from one whose clock is ahead, just after a repetition has begun. The repetition is not due for the successor, so it ignored the stored tasks that are done, acknowledged ends of the repetition without storing them, and stopped its runs; 2.5 s of difference between hosts' clocks are allowed for elsewhere (FleetManager).

Change: repetitions that the progress record, an end or a run names become live. Tasks of such a repetition are placed only once it is due, by its due time.

Before, three of three fail (job1.0.0.0 runs again after its end, or its run is stopped and replaced): Takeover_ProgressOfARepetitionThatIsNotDueYet_IsKept, Takeover_EndOfARepetitionThatIsNotDueYet_..., Takeover_RunOfARepetitionThatIsNotDueYet_IsAdopted ( != 1). They pass after.

--- a/include/quetzal/jobs/JobTable.h
+++ b/include/quetzal/jobs/JobTable.h
@@ -45,9 +45,10 @@
   bool IsDone() const { return doneTasks_ == static_cast<int>(tasks_.size()); }
 };
 
-/** A repetition that is due and has not ended. */
+/** A repetition that is due, or that an earlier owner has started, and that has not ended. */
 struct Occurrence
 {
+  std::int64_t dueMs_ = 0; ///< Unix milliseconds; 0: at once.
   std::vector<StepState> steps_;
 };
 
@@ -95,6 +96,11 @@
 std::int64_t
 OpenDueOccurrences(Job& aJob, std::int64_t aNowMs);
 
+/** Makes the repetitions up to this one live, even if they are not due by this host's clock: the
+ * clock of an earlier owner that started one was ahead. */
+void
+OpenOccurrencesThrough(Job& aJob, int aOccurrence);
+
 /** Restores a job's progress from its stored record. */
 void
 ApplyProgress(Job& aJob, const ProgressRecord& aRecord);
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -164,6 +164,7 @@
   jobs::Job* job = jobs_.Find(aTask.task_.job_);
   jobs::TaskState* task = nullptr;
   if (job != nullptr && !job->ending_) {
+    jobs::OpenOccurrencesThrough(*job, aTask.task_.occurrence_);
     task = jobs::FindTask(*job, aTask.task_);
   }
   if (task == nullptr || task->phase_ != jobs::TaskPhase::kWaiting) {
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -192,7 +192,11 @@
                clock::Moment aNow)
 {
   bool any = false;
+  const std::int64_t nowMs = clock::UnixMs();
   for (const auto& [index, occurrence] : aJob.liveOccurrences_) {
+    if (occurrence.dueMs_ > nowMs) {
+      continue;
+    }
     for (int s = 0; s < static_cast<int>(occurrence.steps_.size()); ++s) {
       if (occurrence.steps_[static_cast<std::size_t>(s)].IsDone() ||
           !jobs::IsUnblocked(aJob, occurrence, s)) {
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -28,9 +28,10 @@
 }
 
 Occurrence
-MakeOccurrence(const JobSpec& aSpec)
+MakeOccurrence(const JobSpec& aSpec, int aIndex)
 {
   Occurrence occurrence;
+  occurrence.dueMs_ = DueMs(aSpec, aIndex);
   for (const StepSpec& step : aSpec.steps_) {
     StepState state;
     state.tasks_.resize(static_cast<std::size_t>(step.count_));
@@ -39,6 +40,16 @@
   return occurrence;
 }
 
+/** Makes the next repetition live, unless it is done. */
+void
+OpenNextOccurrence(Job& aJob)
+{
+  const int index = aJob.nextOccurrence_++;
+  if (!aJob.occurrencesDone_.contains(index)) {
+    aJob.liveOccurrences_.emplace(index, MakeOccurrence(aJob.spec_, index));
+  }
+}
+
 bool
 IsDone(const Occurrence& aOccurrence)
 {
@@ -114,20 +125,29 @@
 OpenDueOccurrences(Job& aJob, std::int64_t aNowMs)
 {
   const int total = RepetitionsOf(aJob.spec_);
-  bool opened = false;
+  const int before = aJob.nextOccurrence_;
   while (aJob.nextOccurrence_ < total && DueMs(aJob.spec_, aJob.nextOccurrence_) <= aNowMs) {
-    const int index = aJob.nextOccurrence_++;
-    if (!aJob.occurrencesDone_.contains(index)) {
-      aJob.liveOccurrences_.emplace(index, MakeOccurrence(aJob.spec_));
-      opened = true;
-    }
+    OpenNextOccurrence(aJob);
   }
-  if (opened) {
+  if (aJob.nextOccurrence_ != before) {
     Recount(aJob);
   }
   return aJob.nextOccurrence_ < total ? DueMs(aJob.spec_, aJob.nextOccurrence_) : 0;
 }
 
+void
+OpenOccurrencesThrough(Job& aJob, int aOccurrence)
+{
+  const int end = std::min(aOccurrence + 1, RepetitionsOf(aJob.spec_));
+  const int before = aJob.nextOccurrence_;
+  while (aJob.nextOccurrence_ < end) {
+    OpenNextOccurrence(aJob);
+  }
+  if (aJob.nextOccurrence_ != before) {
+    Recount(aJob);
+  }
+}
+
 void
 ApplyProgress(Job& aJob, const ProgressRecord& aRecord)
 {
@@ -137,6 +157,7 @@
     aJob.started_ = true;
   }
   for (const StepProgress& progress : aRecord.doneTasks_) {
+    OpenOccurrencesThrough(aJob, progress.occurrence_);
     for (std::size_t i = 0; i < progress.doneMask_.size(); ++i) {
       const TaskId id{ aJob.id_, progress.occurrence_, progress.step_, static_cast<int>(i) };
       TaskState* task = progress.doneMask_[i] == '1' ? FindTask(aJob, id) : nullptr;
@@ -150,6 +171,7 @@
     }
   }
   for (const TaskProgress& progress : aRecord.failures_) {
+    OpenOccurrencesThrough(aJob, progress.occurrence_);
     const TaskId id{ aJob.id_, progress.occurrence_, progress.step_, progress.index_ };
     if (TaskState* task = FindTask(aJob, id)) {
       task->failedRuns_ = progress.failedRuns_;
@@ -157,6 +179,7 @@
     }
   }
   for (const TaskProgress& progress : aRecord.checkpoints_) {
+    OpenOccurrencesThrough(aJob, progress.occurrence_);
     const TaskId id{ aJob.id_, progress.occurrence_, progress.step_, progress.index_ };
     if (TaskState* task = FindTask(aJob, id)) {
       task->checkpoint_ = progress.checkpoint_;
@@ -324,6 +347,7 @@
          int aMaxAttempts)
 {
   EndEffect effect;
+  OpenOccurrencesThrough(aJob, aTask.occurrence_);
   TaskState* task = FindTask(aJob, aTask);
   if (task == nullptr) {
     return effect;
--- a/tests/unit/CellFixture.h
+++ b/tests/unit/CellFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/quetzal/cells/Cell.h"
+#include "include/quetzal/clock/Now.h"
 #include "include/quetzal/node/CellClaim.h"
 #include "tests/unit/FakeWorkers.h"
 #include "tests/unit/MemoryStore.h"
@@ -80,6 +81,16 @@
     return spec;
   }
 
+  /** Returns a job of two tasks with one repetition that is due after the given time. */
+  static jobs::JobSpec DueIn(std::chrono::milliseconds aTime)
+  {
+    jobs::JobSpec spec = Spec(2);
+    spec.repetitions_ = 1;
+    spec.firstMs_ = clock::UnixMs() + aTime.count();
+    spec.intervalMs_ = 60'000;
+    return spec;
+  }
+
   bool RunUntil(const std::function<bool()>& aCondition, qint64 aTimeoutMs = 20'000)
   {
     QElapsedTimer timer;
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -158,6 +158,49 @@
   BOOST_TEST(worker.starts_.size() == 2U);
 }
 
+/** The predecessor's clock was ahead: a repetition that it started is not due for the successor. */
+BOOST_AUTO_TEST_CASE(Takeover_ProgressOfARepetitionThatIsNotDueYet_IsKept)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", DueIn(600ms));
+  cell->Abandon();
+  jobs::ProgressRecord progress;
+  progress.doneTasks_.push_back({ 0, 0, "10" });
+  store_.Put(ProgressPrefix("svc") + "job1", jobs::Encode(progress));
+  cell = TakeOver("b");
+  RunFor(300ms);
+  BOOST_TEST(worker.starts_.empty(), "a task is started before it is due");
+  BOOST_TEST(WaitForRun(worker, { "job1", 0, 0, 1 }));
+  RunFor(100ms);
+  BOOST_TEST(!worker.running_.contains(first_));
+}
+
+BOOST_AUTO_TEST_CASE(Takeover_EndOfARepetitionThatIsNotDueYet_TaskIsNotStartedAgain)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", DueIn(600ms));
+  cell->Abandon();
+  worker.ended_.push_back({ worker.nextEnd_++, first_, 1, jobs::EndKind::kDone, {} });
+  cell = TakeOver("b");
+  BOOST_TEST(WaitForRun(worker, { "job1", 0, 0, 1 }));
+  RunFor(100ms);
+  BOOST_TEST(!worker.running_.contains(first_));
+}
+
+BOOST_AUTO_TEST_CASE(Takeover_RunOfARepetitionThatIsNotDueYet_IsAdopted)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", DueIn(600ms));
+  cell->Abandon();
+  worker.running_[first_] = { 1, worker.ClockMs() + 10'000 };
+  cell = TakeOver("b");
+  BOOST_TEST(WaitForRun(worker, { "job1", 0, 0, 1 }));
+  BOOST_TEST(worker.running_.at(first_).run_ == 1);
+}
+
 BOOST_AUTO_TEST_CASE(Takeover_WorkerIsUnresponsive_ItsTasksWaitUntilTheLeaseHasLapsed)
 {
   FakeWorker& unresponsive = AddWorker("w1");
