--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -133,8 +133,8 @@
    * unavailable. */
   void EvictTasks(const std::string& aWorker);
 
-  /** Starts no more tasks, reads no more ends and writes what is known, since the cell is about to
-   * be handed over. */
+  /** Starts no more tasks, reads no more ends, but those of draining workers, and writes what is
+   * known, since the cell is about to be handed over. */
   void BeginHandOver();
 
   /** Returns whether all that is known is stored: no write is pending or in flight. */
@@ -244,6 +244,7 @@
   void LimitBestEffort(WorkerEntry& aEntry);
 
   void StoreProgress(const jobs::Job& aJob, std::function<void()> aDone);
+  bool HasUnstoredProgress(const std::string& aJob) const;
   void FlushProgress();
   void FinishJob(jobs::Job& aJob, jobs::JobState aState, std::function<void()> aDone);
   void StopTasks(const jobs::Job& aJob);
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -3,6 +3,7 @@
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
 
+#include <QtCore/QPointer>
 #include <algorithm>
 
 /** Ends of runs and jobs: their effects, what is stored of them, and when they are acknowledged to
@@ -80,10 +81,11 @@
 {
   const std::string id = aEntry.worker_->Registration().id_;
   const int incarnation = aEntry.worker_->Incarnation();
-  const auto confirm = [this, id, incarnation, aNumber] {
-    const auto entry = workers_.find(id);
-    if (aNumber != 0 && entry != workers_.end()) {
-      entry->second.worker_->MarkRecorded(incarnation, aNumber);
+  // Not by its id: another incarnation may have it by then, and numbers its ends anew.
+  const QPointer<Worker> worker(aEntry.worker_);
+  const auto confirm = [worker, incarnation, aNumber] {
+    if (aNumber != 0 && worker) {
+      worker->MarkRecorded(incarnation, aNumber);
     }
   };
   UpdateFailureScore(aEntry, aKind);
@@ -128,7 +130,8 @@
   } else if (effect.jobFailed_) {
     StopTasks(job);
     FinishJob(job, jobs::JobState::kFailed, confirm);
-  } else if (effect.changed_) {
+  } else if (effect.changed_ || (aKind == jobs::EndKind::kDone && HasUnstoredProgress(job.id_))) {
+    // An end that changes nothing repeats another run's end, which may not be stored yet.
     StoreProgress(job, confirm);
   } else {
     confirm();
@@ -164,6 +167,7 @@
   jobs::Job* job = jobs_.Find(aTask.task_.job_);
   jobs::TaskState* task = nullptr;
   if (job != nullptr && !job->ending_) {
+    jobs::OpenOccurrencesThrough(*job, aTask.task_.occurrence_);
     task = jobs::FindTask(*job, aTask.task_);
   }
   if (task == nullptr || task->phase_ != jobs::TaskPhase::kWaiting) {
@@ -214,6 +218,12 @@
   }
 }
 
+bool
+Cell::HasUnstoredProgress(const std::string& aJob) const
+{
+  return progressWaiters_.contains(aJob) || writer_.HasUnfinished(aJob);
+}
+
 void
 Cell::FlushProgress()
 {
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -66,6 +66,62 @@
   BOOST_TEST(worker.ended_.size() == 1U);
 }
 
+/** One member's end represents the gang; the ends of the others are all that a successor has if
+ * that member's worker leaves. */
+BOOST_AUTO_TEST_CASE(End_OfAnotherMemberOfAGangWhoseEndIsNotStored_IsNotAcknowledged)
+{
+  FakeWorker& worker = AddWorker("w1");
+  FakeWorker& other = AddWorker("w2");
+  const auto cell = TakeOver("a");
+  jobs::JobSpec spec = Spec(2);
+  spec.steps_.push_back(spec.steps_.front());
+  spec.steps_.front().gang_ = true;
+  spec.steps_.front().cpu_ = 20'000;
+  spec.steps_.back().after_ = { 0 };
+  Submit(*cell, "job1", spec);
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() + other.running_.size() == 2; }));
+  RunFor(50ms);
+  for (int i = 0; i < 100; ++i) {
+    store_.InjectFault(CommitFault::kRefused);
+  }
+  for (FakeWorker* member : { &worker, &other }) {
+    BOOST_REQUIRE(member->running_.begin()->first.step_ == 0);
+    member->End(member->running_.begin()->first, jobs::EndKind::kDone);
+    RunFor(200ms);
+  }
+  BOOST_TEST(worker.ended_.size() == 1U);
+  BOOST_TEST(other.ended_.size() == 1U);
+}
+
+/** Numbers of ends start anew with each incarnation. */
+BOOST_AUTO_TEST_CASE(End_OfAnIncarnationAtAnotherAddressIsStored_EndOfTheNextIsNotAcknowledged)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(2));
+  Submit(*cell, "job2", Spec(2));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 4; }));
+  RunFor(50ms);
+  store_.InjectFault(CommitFault::kDelayed);
+  const std::size_t commits = store_.CommitCount();
+  worker.End(first_, jobs::EndKind::kDone);
+  BOOST_TEST(RunUntil([&] { return store_.CommitCount() > commits; }));
+  worker.Reboot();
+  worker.downUntil_ = {};
+  platformState_.registrations_.at("w1").endpoint_.port_ = 81;
+  Q_EMIT platformState_.WorkersChanged();
+  const jobs::TaskId second{ "job2", 0, 0, 0 };
+  BOOST_TEST(WaitForRun(worker, second));
+  worker.End(second, jobs::EndKind::kDone);
+  BOOST_TEST(RunUntil([&] { return worker.listed_ == 1; }));
+  store_.InjectFault(CommitFault::kNone);
+  for (int i = 0; i < 100; ++i) {
+    store_.InjectFault(CommitFault::kRefused);
+  }
+  RunFor(500ms);
+  BOOST_TEST(worker.ended_.size() == 1U);
+}
+
 /** While the store is away registrations lapse, and come back with it. */
 BOOST_AUTO_TEST_CASE(Worker_LosesItsRegistrationBeforeItsEndIsStored_IsNotForgotten)
 {
@@ -124,6 +180,30 @@
   BOOST_TEST(!other.running_.contains(first_));
 }
 
+/** A draining worker may be gone before a successor polls it. */
+BOOST_AUTO_TEST_CASE(HandOver_WorkerDrains_ItsEndsAreStillReadAndStored)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(2));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 2; }));
+  platformState_.registrations_.at("w1").draining_ = true;
+  Q_EMIT platformState_.WorkersChanged();
+  RunFor(50ms);
+  cell->BeginHandOver();
+  worker.End(first_, jobs::EndKind::kDone);
+  RunFor(150ms);
+  BOOST_TEST(cell->IsIdle());
+  cell->Abandon();
+  worker.reachable_ = false;
+  FakeWorker& other = AddWorker("w2");
+  cell = TakeOver("b");
+  RunFor(200ms);
+  cell->MarkTerminated({ "w1" });
+  BOOST_TEST(WaitForRun(other, { "job1", 0, 0, 1 }));
+  BOOST_TEST(!other.running_.contains(first_));
+}
+
 /** Ends that are read all the time kept the cell from its release until a time-out. */
 BOOST_AUTO_TEST_CASE(HandOver_TasksKeepEnding_CellReadsNoMoreEndsAndIsSoonIdle)
 {
@@ -158,6 +238,85 @@
   BOOST_TEST(worker.starts_.size() == 2U);
 }
 
+/** A worker lists a bounded number of ends at a time. */
+BOOST_AUTO_TEST_CASE(Takeover_WorkerListsOnlySomeOfItsEnds_TasksAreNotStartedAgain)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(4));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 4; }));
+  cell->Abandon();
+  worker.maxListedEnds_ = 2;
+  for (int i = 0; i < 4; ++i) {
+    worker.End({ "job1", 0, 0, i }, jobs::EndKind::kDone);
+  }
+  cell = TakeOver("b");
+  BOOST_TEST(RunUntil([&] { return StateOf(*cell, "job1") == "completed"; }));
+  BOOST_TEST(worker.starts_.size() == 4U);
+}
+
+/** A run that has ended is missing from both lists if a worker lists only some of its ends. */
+BOOST_AUTO_TEST_CASE(Worker_ListsOnlySomeOfItsEnds_TasksAreNotStartedAgain)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(4));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 4; }));
+  RunFor(50ms);
+  worker.maxListedEnds_ = 2;
+  for (int i = 0; i < 5; ++i) {
+    store_.InjectFault(CommitFault::kRefused);
+  }
+  for (int i = 0; i < 4; ++i) {
+    worker.End({ "job1", 0, 0, i }, jobs::EndKind::kDone);
+  }
+  BOOST_TEST(RunUntil([&] { return StateOf(*cell, "job1") == "completed"; }));
+  BOOST_TEST(worker.starts_.size() == 4U);
+}
+
+/** The predecessor's clock was ahead: a repetition that it started is not due for the successor. */
+BOOST_AUTO_TEST_CASE(Takeover_ProgressOfARepetitionThatIsNotDueYet_IsKept)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", DueIn(600ms));
+  cell->Abandon();
+  jobs::ProgressRecord progress;
+  progress.doneTasks_.push_back({ 0, 0, "10" });
+  store_.Put(ProgressPrefix("svc") + "job1", jobs::Encode(progress));
+  cell = TakeOver("b");
+  RunFor(300ms);
+  BOOST_TEST(worker.starts_.empty(), "a task is started before it is due");
+  BOOST_TEST(WaitForRun(worker, { "job1", 0, 0, 1 }));
+  RunFor(100ms);
+  BOOST_TEST(!worker.running_.contains(first_));
+}
+
+BOOST_AUTO_TEST_CASE(Takeover_EndOfARepetitionThatIsNotDueYet_TaskIsNotStartedAgain)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", DueIn(600ms));
+  cell->Abandon();
+  worker.ended_.push_back({ worker.nextEnd_++, first_, 1, jobs::EndKind::kDone, {} });
+  cell = TakeOver("b");
+  BOOST_TEST(WaitForRun(worker, { "job1", 0, 0, 1 }));
+  RunFor(100ms);
+  BOOST_TEST(!worker.running_.contains(first_));
+}
+
+BOOST_AUTO_TEST_CASE(Takeover_RunOfARepetitionThatIsNotDueYet_IsAdopted)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", DueIn(600ms));
+  cell->Abandon();
+  worker.running_[first_] = { 1, worker.ClockMs() + 10'000 };
+  cell = TakeOver("b");
+  BOOST_TEST(WaitForRun(worker, { "job1", 0, 0, 1 }));
+  BOOST_TEST(worker.running_.at(first_).run_ == 1);
+}
+
 BOOST_AUTO_TEST_CASE(Takeover_WorkerIsUnresponsive_ItsTasksWaitUntilTheLeaseHasLapsed)
 {
   FakeWorker& unresponsive = AddWorker("w1");
