--- a/tests/integration/JobsStopTest.cpp
+++ b/tests/integration/JobsStopTest.cpp
@@ -181,6 +181,8 @@
 /** The host has no time to run when its last answers are due. */
 BOOST_AUTO_TEST_CASE(Requests_HostIsPausedUntilItHasToEnd_AreAllAnswered)
 {
+  Stop();
+  PauseOwners();
   PauseUntil(3'000ms);
   const auto calls = BeginSubmits(31, 34);
   PauseUntil(3'300ms);
