A cell that is handed over evicts no tasks

What callers could see: a task that lasts stands still from its eviction until the cell's next owner has started it elsewhere, a second or more, and one more of its step than may be unavailable is stopped (AVAIL). Not seen in a trial; found by reading.

Cause: reports and the orders in their answers go on during a hand-over (up to 0.9 s), and EvictTasks() carried them out. The cell starts nothing any more, and since it stopped its polls for the hand-over it also judges by the workers' last answers which tasks of a step are available.

Evidence, on the code before: CellOwnership/ HandOver_TasksAreToBeEvicted_GoOn: check worker.running_.size() == 1U has failed [0 != 1].

Change: EvictTasks() does nothing during a hand-over. The next owner reports the worker and gets the order again.

After: the test passes, with Planner, CellOwnership, FleetOwnership and PlacementRound.

Conclusion: tasks keep running through a hand-over. Tasks of a worker that drains were not stopped there before either (the periodic timer is off).

--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -178,7 +178,9 @@
 Cell::EvictTasks(const std::string& aWorker)
 {
   const auto entry = workers_.find(aWorker);
-  if (entry == workers_.end()) {
+  // While the cell is handed over, the tasks could not start elsewhere, and polls would not show
+  // which others of their steps are away.
+  if (entry == workers_.end() || handingOver_) {
     return;
   }
   std::vector<jobs::TaskId> toStop;
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -142,6 +142,22 @@
   BOOST_TEST(worker.ended_.size() == 19U);
 }
 
+/** Nobody could start the task again before the cell has its next owner. */
+BOOST_AUTO_TEST_CASE(HandOver_TasksAreToBeEvicted_GoOn)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(1, true));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 1; }));
+  AddWorker("w2");
+  RunFor(100ms);
+  cell->BeginHandOver();
+  cell->CordonWorkers({ "w1" });
+  cell->EvictTasks("w1");
+  RunFor(50ms);
+  BOOST_TEST(worker.running_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(Takeover_TasksAreRunning_AreAdoptedNotStartedAgain)
 {
   FakeWorker& worker = AddWorker("w1");
