A host without a reported worker does not use up the waves' budget

What callers could see: a wave that stands still in a pool of two or three hosts with long-running tasks, past its due time, until a worker of another wave's host is reported again.

Cause: the budget of such a pool is one host, and the wave that is due first takes it. If its pending host is listed as up and its worker is not reported by the cell, the host is never free: it held the budget for as long as that lasts, and the hosts of other waves were not even cordoned.

Evidence, on the code before: Planner/ Waves_HostOfOneHasNoResponsiveWorker_DoesNotHoldUpTheOther: check Plan().cordoned_.contains("w-2") has failed.

Change: a host whose worker is not reported costs nothing. It takes no tasks, so withholding it keeps no capacity from the pool.

After: Planner passes, with CellOwnership, FleetOwnership and PlacementRound.

Conclusion: one way to starve is closed. A host whose task cannot be evicted (a label, anti-affinity or others of its step away for long) still holds the budget of a small pool; the planner does not know of it.

--- a/src/fleet/Planner.cpp
+++ b/src/fleet/Planner.cpp
@@ -295,7 +295,11 @@
       return;
     }
     // An order for another wave must end first: its effect could be taken for that of a second one.
-    if (aOrdered.contains(host->name_) || !WithholdHost(aBudgets, aPlan, *host)) {
+    if (aOrdered.contains(host->name_)) {
+      continue;
+    }
+    // A host whose worker is not reported takes no tasks anyway, and may never become free.
+    if (LoadOf(aView, *host) != nullptr && !WithholdHost(aBudgets, aPlan, *host)) {
       continue;
     }
     --remaining;
--- a/tests/unit/PlannerTest.cpp
+++ b/tests/unit/PlannerTest.cpp
@@ -334,6 +334,19 @@
   BOOST_TEST(Plan().cordoned_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(Waves_HostOfOneHasNoResponsiveWorker_DoesNotHoldUpTheOther)
+{
+  for (const char* name : { "1", "2", "3" }) {
+    AddHost(name, "a", 1);
+    Load(name, "a").hasLongRunning_ = true;
+  }
+  view_.pools_["a"].workers_.erase("w-1");
+  AddWave({ "1" }, 1);
+  AddWave({ "2" }, 1);
+  now_ += 60s;
+  BOOST_TEST(Plan().cordoned_.contains("w-2"));
+}
+
 BOOST_AUTO_TEST_CASE(Waves_HostCordonedForAMove_LeavesFewerHostsForThem)
 {
   AddSixHostsWithLongRunningTasks();
