Tests of jobs begin once both cells have owners

JobsOnThePlatform/Jobs_HandedInAnywhere_CompleteOnceEach failed once, beside other work (load 15): 503 for jobs 1, 3 and 5, all of the queue "beta"; job 7 was accepted.

Cause: the harness. WaitUntilServing() asked for the count of "alpha", which only a cell's owner answers, and for the states of unknown jobs, which are answered 410 from the store while a cell has no owner. So "beta" could still be vacant, and the 503 were right.

No logs were kept of the run that failed, so that this was its cause is inferred.

Change: the counts of both queues are asked for. The old conditions stay.

--- a/tests/harness/JobsDeployment.cpp
+++ b/tests/harness/JobsDeployment.cpp
@@ -104,11 +104,20 @@
                       const std::string& aId,
                       const std::string& aBody)
 {
-  Request request;
-  request.method_ = aMethod;
   // Jobs with even ids belong to queue "alpha", those with odd ids to "beta".
   const bool isEven = aId.empty() || (aId.back() - '0') % 2 == 0;
-  request.target_ = (isEven ? "/alpha/" : "/beta/") + aId;
+  return BeginAt(aEntry, aMethod, (isEven ? "/alpha/" : "/beta/") + aId, aBody);
+}
+
+std::unique_ptr<Call>
+JobsDeployment::BeginAt(int aEntry,
+                        const std::string& aMethod,
+                        const std::string& aTarget,
+                        const std::string& aBody)
+{
+  Request request;
+  request.method_ = aMethod;
+  request.target_ = aTarget;
   request.fields_ = { { "Host", "jobs.example" }, { "X-Quetzalwheel-Deadline", "3000" } };
   request.body_ = aBody;
   return std::make_unique<Call>(Endpoint{ EntryAddress(aEntry), kCallersPort }, request);
@@ -128,12 +137,18 @@
 {
   return WaitUntil([this, aIndex] {
     Pause(std::chrono::milliseconds(50));
-    const auto even = Ask(aIndex, "GET", "", "");
-    return even && even->status_ == quetzal::http::status::kOk &&
+    return CountsPendingOf(aIndex, "/alpha/") && CountsPendingOf(aIndex, "/beta/") &&
            StateOf(aIndex, IdOf(1)) == "status 410" && StateOf(aIndex, IdOf(2)) == "status 410";
   });
 }
 
+bool
+JobsDeployment::CountsPendingOf(int aEntry, const std::string& aQueue)
+{
+  const auto answer = BeginAt(aEntry, "GET", aQueue, "")->Wait();
+  return answer && answer->status_ == quetzal::http::status::kOk;
+}
+
 unsigned
 JobsDeployment::Submit(int aEntry, const std::string& aId, int aTasks, bool aLasting)
 {
--- a/tests/harness/JobsDeployment.h
+++ b/tests/harness/JobsDeployment.h
@@ -54,6 +54,13 @@
                               const std::string& aMethod,
                               const std::string& aId,
                               const std::string& aBody);
+  std::unique_ptr<Call> BeginAt(int aEntry,
+                                const std::string& aMethod,
+                                const std::string& aTarget,
+                                const std::string& aBody);
+  /** Returns whether an entry host is told how many jobs of a queue wait, which only the owner of
+   * the queue's cell can say. */
+  bool CountsPendingOf(int aEntry, const std::string& aQueue);
   std::optional<Response> Ask(int aEntry,
                               const std::string& aMethod,
                               const std::string& aId,
