--- a/tests/harness/JobsDeployment.cpp
+++ b/tests/harness/JobsDeployment.cpp
@@ -44,14 +44,21 @@
   return writer.Bytes();
 }
 
+/** Returns the target of a request about a job. Jobs with even ids belong to queue "alpha", those
+ * with odd ids to "beta". */
+std::string
+TargetOf(const std::string& aId)
+{
+  const bool isEven = aId.empty() || (aId.back() - '0') % 2 == 0;
+  return (isEven ? "/alpha/" : "/beta/") + aId;
+}
+
 Request
-MakeJobRequest(const std::string& aMethod, const std::string& aId, const std::string& aBody)
+MakeJobRequest(const std::string& aMethod, const std::string& aTarget, const std::string& aBody)
 {
   Request request;
   request.method_ = aMethod;
-  // Jobs with even ids belong to queue "alpha", those with odd ids to "beta".
-  const bool isEven = aId.empty() || (aId.back() - '0') % 2 == 0;
-  request.target_ = (isEven ? "/alpha/" : "/beta/") + aId;
+  request.target_ = aTarget;
   request.fields_ = { { "Host", "jobs.example" }, { "X-Quetzalwheel-Deadline", "3000" } };
   request.body_ = aBody;
   return request;
@@ -120,7 +127,16 @@
                       const std::string& aId,
                       const std::string& aBody)
 {
-  return std::make_unique<Call>(Callers(aEntry), MakeJobRequest(aMethod, aId, aBody));
+  return BeginAt(aEntry, aMethod, TargetOf(aId), aBody);
+}
+
+std::unique_ptr<Call>
+JobsDeployment::BeginAt(int aEntry,
+                        const std::string& aMethod,
+                        const std::string& aTarget,
+                        const std::string& aBody)
+{
+  return std::make_unique<Call>(Callers(aEntry), MakeJobRequest(aMethod, aTarget, aBody));
 }
 
 Endpoint
@@ -144,7 +160,7 @@
 std::string
 JobsDeployment::SubmitBytes(const std::string& aId)
 {
-  return Serialize(MakeJobRequest("POST", aId, JobBody(1, false)));
+  return Serialize(MakeJobRequest("POST", TargetOf(aId), JobBody(1, false)));
 }
 
 std::optional<Response>
@@ -161,12 +177,18 @@
 {
   return WaitUntil([this, aIndex] {
     Pause(std::chrono::milliseconds(50));
-    const auto even = Ask(aIndex, "GET", "", "");
-    return even && even->status_ == quetzal::http::status::kOk &&
+    return CountsPendingOf(aIndex, "/alpha/") && CountsPendingOf(aIndex, "/beta/") &&
            StateOf(aIndex, IdOf(1)) == "status 410" && StateOf(aIndex, IdOf(2)) == "status 410";
   });
 }
 
+bool
+JobsDeployment::CountsPendingOf(int aEntry, const std::string& aQueue)
+{
+  const auto answer = BeginAt(aEntry, "GET", aQueue, "")->Wait();
+  return answer && answer->status_ == quetzal::http::status::kOk;
+}
+
 unsigned
 JobsDeployment::Submit(int aEntry, const std::string& aId, int aTasks, bool aLasting)
 {
