Records that no job can be restored from are ignored with a log line

What callers could see: one record in the store with an unknown state, a negative or huge number of tasks or a dependency on a step that does not exist ended the process that claimed the cell, and then each of its successors. A request for the state of such a job ended the process that received it.

Cause: Cell::RestoreJob and RequestRouter::OnRecordRead cast the number of the state to a JobState without a check; RestoreJob made a job of whatever the record held, and checked no more than that it was msgpack.

Evidence: four new tests failed before. CellOwnership/StoredJob_StateDoesNotExist_IsIgnored: "std::out_of_range: array::at: __n (which is 255) >= _Nm (which is 5)". StoredJob_CannotBeRun_IsIgnored and StoredJobs_OneCannotBeRun_OthersAreRestored: "std::length_error: vector::_M_default_append". NodeOfAnEntryHost/GetState_StoredStateDoesNotExist_OutcomeIsUnknown: "check (*status == kUnknownOutcome) has failed", as the state 77 was passed on. All pass after, and so do the suites CellOwnership, NodeOfAnEntryHost, CallsOfOtherHosts, RequestsAtARefusingOwner and JobTable.

Change: jobs::IsValid of a record checks the state, the timestamp and, for a job that has not ended, what is checked of a caller's job. A record that fails is ignored with event=job-ignored and the reason. A request for its state is answered with an unknown outcome, since another version may know the state.

Conclusion: done for records of jobs. A record that is not msgpack is still answered as an unknown job.

--- a/include/quetzal/jobs/Records.h
+++ b/include/quetzal/jobs/Records.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <msgpack.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -194,4 +195,13 @@
 JobSpec
 SpecOf(const JobRecord& aRecord);
 
+/** Returns the state of a stored or received record; std::nullopt if there is no such state. */
+std::optional<JobState>
+ReadJobState(int aState);
+
+/** Returns whether a record can be used: its state exists, and the job can be run if it has not
+ * ended. @param aWhy set to the reason if the record is invalid. */
+bool
+IsValid(const JobRecord& aRecord, std::string& aWhy);
+
 } // namespace quetzal::jobs
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -119,11 +119,14 @@
 Cell::RestoreJob(const store::KeyValue& aItem)
 {
   jobs::JobRecord record;
-  if (!jobs::Decode(aItem.value_, record)) {
-    log::Warn("cell", "event=job-ignored cell=", service_, " key=", aItem.key_);
+  std::string why = "it is not a record";
+  const bool isRecord = jobs::Decode(aItem.value_, record);
+  if (isRecord && record.cell_ != service_) {
     return;
   }
-  if (record.cell_ != service_) {
+  if (!isRecord || !jobs::IsValid(record, why)) {
+    log::Warn(
+      "cell", "event=job-ignored cell=", service_, " key=", aItem.key_, " why=\"", why, '"');
     return;
   }
   const std::string id = aItem.key_.substr(kJobPrefix.size());
--- a/src/jobs/Records.cpp
+++ b/src/jobs/Records.cpp
@@ -51,4 +51,28 @@
   return spec;
 }
 
+std::optional<JobState>
+ReadJobState(int aState)
+{
+  if (aState < 0 || aState > static_cast<int>(JobState::kCancelled)) {
+    return std::nullopt;
+  }
+  return static_cast<JobState>(aState);
+}
+
+bool
+IsValid(const JobRecord& aRecord, std::string& aWhy)
+{
+  const auto state = ReadJobState(aRecord.state_);
+  if (!state) {
+    aWhy = "there is no state " + std::to_string(aRecord.state_);
+    return false;
+  }
+  if (aRecord.timestampMs_ < 0 || aRecord.timestampMs_ > kMaxUnixMs) {
+    aWhy = "the timestamp is out of range";
+    return false;
+  }
+  return IsFinal(*state) || IsValid(SpecOf(aRecord), aWhy);
+}
+
 } // namespace quetzal::jobs
--- a/src/node/RequestRouter.cpp
+++ b/src/node/RequestRouter.cpp
@@ -254,7 +254,14 @@
     aDone({ cells::AnswerStatus::kUnknownJob });
     return;
   }
-  const auto state = static_cast<jobs::JobState>(record.state_);
+  const auto known = jobs::ReadJobState(record.state_);
+  if (!known) {
+    // Another version of this program may have written it.
+    log::Warn("node", "event=job-ignored job=", aRequest.id_, " state=", record.state_);
+    aDone({ cells::AnswerStatus::kUnknownOutcome });
+    return;
+  }
+  const jobs::JobState state = *known;
   if (!jobs::IsFinal(state) && !aFinal && record.cell_ != aRequest.cell_) {
     JobRequest moved = aRequest;
     moved.cell_ = record.cell_;
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -49,6 +49,37 @@
   BOOST_TEST(worker.ended_.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(StoredJob_StateDoesNotExist_IsIgnored)
+{
+  for (const int state : { -1, 5, 77 }) {
+    jobs::JobRecord record = jobs::MakeJobRecord("svc", "q", Spec(1), 7);
+    record.state_ = state;
+    store_.Put(JobKey("job1"), jobs::Encode(record));
+    BOOST_TEST(StateOf(*TakeOver("a"), "job1") == "unknown-job");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(StoredJob_CannotBeRun_IsIgnored)
+{
+  const auto ignored = [this](const jobs::JobSpec& aSpec) {
+    store_.Put(JobKey("job1"), jobs::Encode(jobs::MakeJobRecord("svc", "q", aSpec, 7)));
+    return StateOf(*TakeOver("a"), "job1") == "unknown-job";
+  };
+  jobs::JobSpec cyclic = Spec(1);
+  cyclic.steps_[0].after_ = { 5 };
+  BOOST_TEST(ignored(Spec(-1)));
+  BOOST_TEST(ignored(Spec(2'000'000'000)));
+  BOOST_TEST(ignored(cyclic));
+  BOOST_TEST(ignored({}));
+}
+
+BOOST_AUTO_TEST_CASE(StoredJobs_OneCannotBeRun_OthersAreRestored)
+{
+  store_.Put(JobKey("job0"), jobs::Encode(jobs::MakeJobRecord("svc", "q", Spec(-1), 7)));
+  store_.Put(JobKey("job1"), jobs::Encode(jobs::MakeJobRecord("svc", "q", Spec(1), 7)));
+  BOOST_TEST(StateOf(*TakeOver("a"), "job1") == "queued");
+}
+
 /** A successor to which a job's end is unknown needs the ends of its runs, or starts its tasks
  * again (large/, mix, seed 494336760919). */
 BOOST_AUTO_TEST_CASE(End_OfAJobWhoseOwnEndIsNotStored_IsNotAcknowledged)
--- a/tests/unit/NodeProcessTest.cpp
+++ b/tests/unit/NodeProcessTest.cpp
@@ -177,6 +177,20 @@
   BOOST_TEST(after.lastOrderMs_.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(GetState_StoredStateDoesNotExist_OutcomeIsUnknown)
+{
+  jobs::JobRecord record = jobs::MakeEndRecord("svc", "q", jobs::JobState::kCompleted, 7);
+  record.state_ = 77;
+  store_.Put(cells::JobKey("job1"), jobs::Encode(record));
+  JobRequest request;
+  request.cell_ = "svc";
+  request.id_ = "job1";
+  std::optional<cells::AnswerStatus> status;
+  process_->Handle(request, [&status](const auto& aAnswer) { status = aAnswer.status_; });
+  BOOST_TEST_REQUIRE(AnswerUntil([&status] { return status.has_value(); }));
+  BOOST_TEST((*status == cells::AnswerStatus::kUnknownOutcome));
+}
+
 BOOST_AUTO_TEST_CASE(Stop_CellIsOwned_ReleasesTheCellAtOnce)
 {
   BOOST_TEST_REQUIRE(AnswerUntil([this] { return IsOwned() && process_->ClaimsInFlight() == 0; }));
