Messages of other entry hosts are checked before they are used

What callers could see: a job with a negative number of tasks, sent by another entry host, ended the owner of its cell. A submission whose job could not be read was accepted as a job without steps, which never ends. A call of an unknown kind got no answer. A reply with an unknown status or state was passed on; naming it ends the process that received it (array::at). Amounts that are not numbers in a cell's report reached the fleet's planner, which sorts by them.

Cause: FromCall and FromReply cast numbers to RequestKind, AnswerStatus and JobState without a check, ignored that a job was not readable, and copied amounts as they came.

Change: FromCall and FromReply return nothing for a message out of range. Such a call is answered as not owned, with event=call-ignored or report-ignored; such a reply leaves the outcome unknown, with event=reply-ignored.

Conclusion: done for calls and replies about jobs and for reports. The lengths that a message declares are not bounded (jobs::Decode, UnpackEnvelope).

--- a/src/node/Messages.cpp
+++ b/src/node/Messages.cpp
@@ -1,6 +1,61 @@
 #include "src/node/Messages.h"
 
+#include <algorithm>
+
 namespace quetzal::node {
+namespace {
+
+/** More than any fleet has: cores, megabytes, tasks or runs. */
+constexpr double kMaxReportedAmount = 1e12;
+constexpr std::int64_t kMaxRetryAfterMs = 24LL * 3'600 * 1'000;
+
+bool
+IsKind(int aKind)
+{
+  return aKind >= static_cast<int>(RequestKind::kSubmit) &&
+         aKind <= static_cast<int>(RequestKind::kCountPending);
+}
+
+bool
+IsAnswerStatus(int aStatus)
+{
+  return aStatus >= 0 && aStatus <= static_cast<int>(cells::AnswerStatus::kCounted);
+}
+
+/** Returns whether an amount is usable. It is false for values that are not numbers, which have no
+ * order and cannot be converted to an integer. */
+bool
+IsAmount(double aAmount)
+{
+  return aAmount >= 0 && aAmount <= kMaxReportedAmount;
+}
+
+bool
+HasValidAmounts(const ReportCall& aCall)
+{
+  const bool hasValidRuns =
+    std::all_of(aCall.workers_.begin(), aCall.workers_.end(), [](const WorkerEntry& aWorker) {
+      return aWorker.runs_ >= 0;
+    });
+  return hasValidRuns && aCall.unschedulableTasks_ >= 0 && IsAmount(aCall.longRunningCores_) &&
+         IsAmount(aCall.longRunningMemory_) && IsAmount(aCall.urgentCores_) &&
+         IsAmount(aCall.forecastCores_);
+}
+
+/** Reads the job of a submission. @return whether it can be run. */
+bool
+ReadSpec(const std::string& aJob, jobs::JobSpec& aSpec)
+{
+  jobs::JobRecord record;
+  std::string why;
+  if (!jobs::Decode(aJob, record)) {
+    return false;
+  }
+  aSpec = jobs::SpecOf(record);
+  return jobs::IsValid(aSpec, why);
+}
+
+} // namespace
 
 JobCall
 ToCall(const JobRequest& aRequest)
@@ -18,18 +73,20 @@
   return call;
 }
 
-JobRequest
+std::optional<JobRequest>
 FromCall(const JobCall& aCall)
 {
+  if (!IsKind(aCall.kind_)) {
+    return std::nullopt;
+  }
   JobRequest request;
   request.kind_ = static_cast<RequestKind>(aCall.kind_);
   request.cell_ = aCall.cell_;
   request.queue_ = aCall.queue_;
   request.id_ = aCall.id_;
   request.timeout_ = clock::Milliseconds(aCall.timeoutMs_);
-  jobs::JobRecord record;
-  if (!aCall.job_.empty() && jobs::Decode(aCall.job_, record)) {
-    request.spec_ = jobs::SpecOf(record);
+  if (request.kind_ == RequestKind::kSubmit && !ReadSpec(aCall.job_, request.spec_)) {
+    return std::nullopt;
   }
   return request;
 }
@@ -46,12 +103,17 @@
   return reply;
 }
 
-cells::Answer
+std::optional<cells::Answer>
 FromReply(const JobReply& aReply)
 {
+  const auto state = jobs::ReadJobState(aReply.state_);
+  if (!IsAnswerStatus(aReply.status_) || !state || aReply.pending_ < 0 ||
+      aReply.retryAfterMs_ < 0 || aReply.retryAfterMs_ > kMaxRetryAfterMs) {
+    return std::nullopt;
+  }
   cells::Answer answer;
   answer.status_ = static_cast<cells::AnswerStatus>(aReply.status_);
-  answer.state_ = static_cast<jobs::JobState>(aReply.state_);
+  answer.state_ = *state;
   answer.pending_ = aReply.pending_;
   answer.retryAfter_ = clock::Milliseconds(aReply.retryAfterMs_);
   return answer;
@@ -74,9 +136,12 @@
   return call;
 }
 
-cells::CellReport
+std::optional<cells::CellReport>
 FromCall(const ReportCall& aCall)
 {
+  if (!HasValidAmounts(aCall)) {
+    return std::nullopt;
+  }
   cells::CellReport report;
   report.service_ = aCall.service_;
   report.longRunningCores_ = aCall.longRunningCores_;
--- a/src/node/Messages.h
+++ b/src/node/Messages.h
@@ -5,6 +5,7 @@
 #include "include/quetzal/node/JobRequestHandler.h"
 
 #include <msgpack.hpp>
+#include <optional>
 
 namespace quetzal::node {
 
@@ -77,15 +78,18 @@
 
 JobCall
 ToCall(const JobRequest& aRequest);
-JobRequest
+/** Returns the request; std::nullopt if there is no such kind, or if its job cannot be run. */
+std::optional<JobRequest>
 FromCall(const JobCall& aCall);
 JobReply
 ToReply(const cells::Answer& aAnswer);
-cells::Answer
+/** Returns the answer; std::nullopt if any part of it is out of range. */
+std::optional<cells::Answer>
 FromReply(const JobReply& aReply);
 ReportCall
 ToCall(const cells::CellReport& aReport);
-cells::CellReport
+/** Returns the report; std::nullopt if any amount is negative, not finite or out of range. */
+std::optional<cells::CellReport>
 FromCall(const ReportCall& aCall);
 
 } // namespace quetzal::node
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -321,8 +321,11 @@
   if (aMethod == PeerMethod::kReport) {
     ReportCall call;
     ReportReply reply;
-    if (fleet_ != nullptr && jobs::Decode(aBody, call)) {
-      const CellOrders orders = fleet_->OnReport(FromCall(call));
+    const auto report = jobs::Decode(aBody, call) ? FromCall(call) : std::nullopt;
+    if (!report) {
+      log::Warn("node", "event=report-ignored cell=", call.service_, " bytes=", aBody.size());
+    } else if (fleet_ != nullptr) {
+      const CellOrders orders = fleet_->OnReport(*report);
       reply = { true, orders.cordoned_, orders.evict_, orders.terminated_ };
     }
     aReply(jobs::Encode(reply));
--- a/src/node/RequestRouter.cpp
+++ b/src/node/RequestRouter.cpp
@@ -84,16 +84,16 @@
                           const std::function<void(const std::string&)>& aReply)
 {
   JobCall call;
-  const bool isReadable = jobs::Decode(aBody, call);
-  if (!isReadable) {
-    log::Warn("node", "event=call-ignored bytes=", aBody.size());
+  const auto request = jobs::Decode(aBody, call) ? FromCall(call) : std::nullopt;
+  if (!request) {
+    log::Warn("node", "event=call-ignored kind=", call.kind_, " bytes=", aBody.size());
   }
-  cells::Cell* cell = isReadable ? ports_.ownCell_(call.cell_) : nullptr;
+  cells::Cell* cell = request ? ports_.ownCell_(request->cell_) : nullptr;
   if (cell == nullptr) {
     aReply(jobs::Encode(JobReply{}));
     return;
   }
-  HandleInCell(*cell, FromCall(call), [aReply](const cells::Answer& aAnswer) {
+  HandleInCell(*cell, *request, [aReply](const cells::Answer& aAnswer) {
     aReply(jobs::Encode(ToReply(aAnswer)));
   });
 }
@@ -179,9 +179,14 @@
 {
   JobReply reply;
   const bool hasReply = aResult.failure_ == CallFailure::kNone;
-  const bool isReadable = hasReply && jobs::Decode(aResult.body_, reply);
+  const auto decoded =
+    hasReply && jobs::Decode(aResult.body_, reply) ? FromReply(reply) : std::nullopt;
+  const bool isReadable = decoded.has_value();
+  if (hasReply && !isReadable) {
+    log::Warn("node", "event=reply-ignored job=", aRequest.id_, " status=", reply.status_);
+  }
   const bool isAnswered = isReadable && reply.owned_;
-  const cells::Answer answer = FromReply(reply);
+  const cells::Answer answer = decoded.value_or(cells::Answer{});
   if (isAnswered && answer.status_ != cells::AnswerStatus::kUnknownOutcome &&
       !IsDoubtful(aRequest, answer, aIncarnation)) {
     aDone(answer);
--- a/tests/unit/NodeProcessTest.cpp
+++ b/tests/unit/NodeProcessTest.cpp
@@ -12,6 +12,7 @@
 #include <QtNetwork/QTcpServer>
 #include <QtNetwork/QTcpSocket>
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 
 namespace {
 
@@ -47,7 +48,8 @@
 /** The only entry host "a", whose store answers one call at a time. */
 struct NodeFixture
 {
-  NodeFixture()
+  explicit NodeFixture(std::uint16_t aPort = 0)
+    : peers_{ "127.0.0.1", aPort }
   {
     jobs::Queue queue;
     queue.name_ = "q";
@@ -58,7 +60,7 @@
     node::NodeSettings settings;
     settings.name_ = "a";
     settings.address_ = "127.0.0.1";
-    settings.peers_ = { "127.0.0.1", 0 };
+    settings.peers_ = peers_;
     settings.stopTime_ = 6'000ms;
     process_.emplace(settings,
                      node::Ports{ &store_, &platformState_, &hosts_, nullptr, fleet_.Factory() },
@@ -101,6 +103,7 @@
     process_->Stop();
   }
 
+  settings::Endpoint peers_;
   MemoryStore store_;
   FakePlatformState platformState_;
   FakeFleet fleet_;
@@ -274,6 +277,107 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** A process that owns the cell "svc" and the fleet, and another entry host that calls it. */
+struct CalledOwnerFixture : NodeFixture
+{
+  CalledOwnerFixture()
+    : NodeFixture(FreePort())
+  {
+    BOOST_REQUIRE(AnswerUntil([this] { return IsFleetOwned() && IsCellReady(); }));
+  }
+
+  static std::uint16_t FreePort()
+  {
+    QTcpServer server;
+    BOOST_REQUIRE(server.listen(QHostAddress::LocalHost));
+    return server.serverPort();
+  }
+
+  bool IsCellReady() const { return IsOwned() && process_->ClaimsInFlight() == 0; }
+
+  /** Calls the process. @return its answer; std::nullopt if there is none. */
+  template<typename Reply>
+  std::optional<Reply> Call(PeerMethod aMethod, const std::string& aBody)
+  {
+    std::optional<CallResult> result;
+    caller_.Call(
+      peers_, aMethod, aBody, 800ms, [&result](const auto& aResult) { result = aResult; });
+    BOOST_REQUIRE(AnswerUntil([&result] { return result.has_value(); }));
+    Reply reply;
+    const bool isRead =
+      result->failure_ == CallFailure::kNone && jobs::Decode(result->body_, reply);
+    return isRead ? std::optional(reply) : std::nullopt;
+  }
+
+  static JobCall MakeSubmission(int aTasks)
+  {
+    jobs::StepSpec step;
+    step.count_ = aTasks;
+    jobs::JobSpec spec;
+    spec.steps_ = { step };
+    JobCall call;
+    call.kind_ = static_cast<int>(RequestKind::kSubmit);
+    call.cell_ = "svc";
+    call.queue_ = "q";
+    call.id_ = "job1";
+    call.job_ = jobs::Encode(jobs::MakeJobRecord("svc", "q", spec, 0));
+    return call;
+  }
+
+  bool IsServed(const JobCall& aCall)
+  {
+    const auto reply = Call<JobReply>(PeerMethod::kJob, jobs::Encode(aCall));
+    BOOST_TEST(reply.has_value());
+    return reply && reply->owned_;
+  }
+
+  PeerLinks caller_{ nullptr };
+};
+
+BOOST_FIXTURE_TEST_SUITE(CallsOfOtherHostsToAnOwner, CalledOwnerFixture)
+
+BOOST_AUTO_TEST_CASE(JobCall_CanBeRun_IsServed)
+{
+  BOOST_TEST(IsServed(MakeSubmission(1)));
+}
+
+BOOST_AUTO_TEST_CASE(JobCall_KindDoesNotExist_IsAnsweredAsNotOwned)
+{
+  for (const int kind : { -1, 0, 5, 99 }) {
+    JobCall call = MakeSubmission(1);
+    call.kind_ = kind;
+    BOOST_TEST(!IsServed(call));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(JobCall_JobIsNotReadable_IsAnsweredAsNotOwned)
+{
+  JobCall call = MakeSubmission(1);
+  call.job_ = "unreadable";
+  BOOST_TEST(!IsServed(call));
+  call.job_.clear();
+  BOOST_TEST(!IsServed(call));
+}
+
+BOOST_AUTO_TEST_CASE(JobCall_JobCannotBeRun_IsAnsweredAsNotOwned)
+{
+  BOOST_TEST(!IsServed(MakeSubmission(-1)));
+}
+
+BOOST_AUTO_TEST_CASE(Report_AmountIsNotANumber_IsAnsweredAsNotOwned)
+{
+  for (const double cores : { std::nan(""), HUGE_VAL, -1.0 }) {
+    ReportCall call;
+    call.service_ = "svc";
+    call.forecastCores_ = cores;
+    const auto reply = Call<ReportReply>(PeerMethod::kReport, jobs::Encode(call));
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(!reply->owned_);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 /** A process whose cell "svc" is owned by another entry host. That host closes the connection of
  * the first call without an answer, and refuses every later one. */
 struct RefusingOwnerFixture : NodeFixture
@@ -301,9 +405,8 @@
           socket->abort();
           return;
         }
-        const cells::Answer refusal{ cells::AnswerStatus::kRefused, {}, 0, 1'000ms };
         const std::int64_t number = UnpackEnvelope(*payload).number_;
-        socket->write(wire::MakeFrame(Pack({ number, 0, jobs::Encode(ToReply(refusal)) })));
+        socket->write(wire::MakeFrame(Pack({ number, 0, jobs::Encode(reply_) })));
       }
     });
   }
@@ -325,6 +428,7 @@
   QTcpServer server_;
   QByteArray bytes_;
   int calls_ = 0;
+  JobReply reply_ = ToReply({ cells::AnswerStatus::kRefused, {}, 0, 1'000ms });
 };
 
 BOOST_FIXTURE_TEST_SUITE(RequestsAtARefusingOwner, RefusingOwnerFixture)
@@ -342,6 +446,16 @@
   BOOST_TEST(calls_ == 2);
 }
 
+BOOST_AUTO_TEST_CASE(Submit_ReplyIsOutOfRange_OutcomeIsUnknown)
+{
+  calls_ = 1;
+  reply_.status_ = 99;
+  BOOST_TEST((Submit() == cells::AnswerStatus::kUnknownOutcome));
+  reply_ = ToReply({ cells::AnswerStatus::kAccepted });
+  reply_.state_ = 77;
+  BOOST_TEST((Submit() == cells::AnswerStatus::kUnknownOutcome));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
