Claims with an unknown state or an impossible HTTP status are not decoded

What callers could see: a stored answer whose status is 0 or 4,000,000,000 was replayed with that status.

Cause: DecodeClaim cast the number of the state to a ClaimState and copied the status without a check.

Evidence: before, Decisions/Claim_StateDoesNotExist_IsNotDecoded failed for 77, and Claim_StatusOfItsAnswerIsNoHttpStatus_IsNotDecoded for 0, 100, 600 and 4,000,000,000 ("check !claims::DecodeClaim(claims::Encode(record)).has_value() has failed"). After, the suites Decisions and WireMessages pass.

Change: a record with an unknown state, or with an answer whose status is not from 200 to 599, is not decoded, as before for records that are not msgpack: its key counts as held.

Conclusion: done.

--- a/src/claims/Claim.cpp
+++ b/src/claims/Claim.cpp
@@ -14,6 +14,8 @@
 constexpr int kClaimWritesPerSecond = 300;
 constexpr int kMillisecondsPerSecond = 1'000;
 constexpr int kRecordVersion = 1;
+constexpr std::uint32_t kMinHttpStatus = 200;
+constexpr std::uint32_t kMaxHttpStatus = 599;
 
 /** The serialized form of a ClaimRecord. */
 struct StoredRecord
@@ -29,6 +31,16 @@
   MSGPACK_DEFINE_ARRAY(version_, state_, claimant_, fingerprint_, status_, contentType_, body_)
 };
 
+/** Returns whether the state exists and, if there is an answer, it has a final HTTP status. */
+bool
+IsValid(const StoredRecord& aRecord)
+{
+  if (aRecord.state_ == static_cast<int>(ClaimState::kAnswered)) {
+    return aRecord.status_ >= kMinHttpStatus && aRecord.status_ <= kMaxHttpStatus;
+  }
+  return aRecord.state_ == static_cast<int>(ClaimState::kClaimed);
+}
+
 } // namespace
 
 ClaimDecision
@@ -109,7 +121,7 @@
     const auto handle = msgpack::unpack(
       aBytes.data(), aBytes.size(), nullptr, nullptr, wire::LimitFor(aBytes.size()));
     const auto stored = handle.get().as<StoredRecord>();
-    if (stored.version_ != kRecordVersion) {
+    if (stored.version_ != kRecordVersion || !IsValid(stored)) {
       return std::nullopt;
     }
     return ClaimRecord{ static_cast<ClaimState>(stored.state_),
--- a/tests/unit/DecisionTest.cpp
+++ b/tests/unit/DecisionTest.cpp
@@ -112,6 +112,21 @@
   BOOST_CHECK(!claims::DecodeClaim("no record"));
 }
 
+BOOST_AUTO_TEST_CASE(Claim_StateDoesNotExist_IsNotDecoded)
+{
+  claims::ClaimRecord record{ claims::ClaimState::kAnswered, "me/1", 7, 200, {}, "ok" };
+  record.state_ = static_cast<claims::ClaimState>(77);
+  BOOST_TEST(!claims::DecodeClaim(claims::Encode(record)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Claim_StatusOfItsAnswerIsNoHttpStatus_IsNotDecoded)
+{
+  for (const std::uint32_t status : { 0U, 100U, 600U, 4'000'000'000U }) {
+    const claims::ClaimRecord record{ claims::ClaimState::kAnswered, "me/1", 7, status, {}, "ok" };
+    BOOST_TEST(!claims::DecodeClaim(claims::Encode(record)).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Claim_LargeAnswer_IsNotStored)
 {
   quetzal::http::Response answer{ 200, {}, std::string(5'000, 'x') };
