Jobs whose due times overflow are refused

What callers could see: a job with an interval of 9e18 ms or a first time far from 1970 was accepted, and its due times overflowed in the owner and in each successor, which is undefined.

Cause: IsValid bounded the repetitions but neither the first time nor the interval; DueMs multiplies and adds them.

Evidence: before, JobTable/JobSpec_DueTimesOverflow_IsRefused failed three times ("check !IsValid(spec, why) has failed"), for a huge interval and for a huge first time of either sign. After, the suite JobTable passes.

Change: the first time is from 1970 to 9999, the interval at most 366 days; the reason is "the repetitions are out of range".

Conclusion: done for the overflow.

--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -12,6 +12,7 @@
 constexpr std::int64_t kMaxDurationMs = 7LL * 24 * 3'600 * 1'000;
 constexpr std::size_t kMaxPayloadBytes = 16 * 1024;
 constexpr int kMaxRepetitions = 100'000;
+constexpr std::int64_t kMaxIntervalMs = 366LL * 24 * 3'600 * 1'000;
 /** Duration that is assumed for tasks without an estimate. */
 constexpr std::int64_t kDefaultEstimateMs = 600;
 constexpr double kMillicoreMsPerCoreSecond = 1e6;
@@ -86,7 +87,8 @@
     return false;
   }
   if (aSpec.repetitions_ < 0 || aSpec.repetitions_ > kMaxRepetitions ||
-      (aSpec.repetitions_ > 1 && aSpec.intervalMs_ <= 0)) {
+      (aSpec.repetitions_ > 1 && aSpec.intervalMs_ <= 0) || !IsAmount(aSpec.firstMs_, kMaxUnixMs) ||
+      !IsAmount(aSpec.intervalMs_, kMaxIntervalMs)) {
     aWhy = "the repetitions are out of range";
     return false;
   }
--- a/tests/unit/JobTableTest.cpp
+++ b/tests/unit/JobTableTest.cpp
@@ -232,6 +232,23 @@
   BOOST_TEST(IsValid(good, why));
 }
 
+BOOST_AUTO_TEST_CASE(JobSpec_DueTimesOverflow_IsRefused)
+{
+  constexpr std::int64_t kHuge = 9'000'000'000'000'000'000;
+  std::string why;
+  JobSpec spec;
+  spec.steps_ = { Step(1) };
+  spec.repetitions_ = 3;
+  spec.firstMs_ = 1;
+  spec.intervalMs_ = kHuge;
+  BOOST_TEST(!IsValid(spec, why));
+  spec.intervalMs_ = 1;
+  for (const std::int64_t first : { kHuge, -kHuge }) {
+    spec.firstMs_ = first;
+    BOOST_TEST(!IsValid(spec, why));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RemainingWork_FirstStepDone_IsSecondStepOnly)
 {
   Job job = MakeOpen({ Step(2), Step(4, { 0 }) });
