--- a/tests/harness/RawCaller.cpp
+++ b/tests/harness/RawCaller.cpp
@@ -7,6 +7,7 @@
 namespace harness {
 namespace {
 
+constexpr const char* kVersion = "HTTP/1.1 ";
 constexpr const char* kHeaderEnd = "\r\n\r\n";
 constexpr const char* kLengthField = "Content-Length: ";
 
@@ -84,6 +85,16 @@
   return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+unsigned
+RawCaller::Status() const
+{
+  constexpr std::size_t kStatusDigits = 3;
+  const std::size_t version = std::string(kVersion).size();
+  return CountAnswers() == 0
+           ? 0
+           : static_cast<unsigned>(std::stoul(received_.substr(version, kStatusDigits)));
+}
+
 int
 RawCaller::CountAnswers() const
 {
--- a/tests/harness/RawCaller.h
+++ b/tests/harness/RawCaller.h
@@ -31,6 +31,9 @@
   /** Returns whether there is nothing to wait for. */
   bool IsDone() const { return closed_ || refused_ || IsAnswered(); }
 
+  /** Returns the status of the first answer; 0 if there is none. */
+  unsigned Status() const;
+
   /** Returns everything received. */
   const std::string& Received() const { return received_; }
 
--- a/tests/integration/JobsStopTest.cpp
+++ b/tests/integration/JobsStopTest.cpp
@@ -10,6 +10,7 @@
 
 using namespace harness;
 using namespace std::chrono_literals;
+using quetzal::http::status::kBadRequest;
 using quetzal::http::status::kGatewayTimeout;
 using quetzal::http::status::kServiceUnavailable;
 
@@ -86,11 +87,13 @@
   void BeginRequest(RawCaller& aCaller) { aCaller.Send(NextSubmit()); }
 
   /** Opens connections of callers that send nothing yet. */
-  Callers Connect(int aCount)
+  Callers Connect(int aCount) const { return Connect(aCount, jobs_.Callers(kStopping)); }
+
+  static Callers Connect(int aCount, const Endpoint& aEndpoint)
   {
     Callers callers;
     for (int i = 0; i < aCount; ++i) {
-      callers.push_back(std::make_unique<RawCaller>(jobs_.Callers(kStopping)));
+      callers.push_back(std::make_unique<RawCaller>(aEndpoint));
     }
     return callers;
   }
@@ -276,6 +279,16 @@
   CheckEndsInTime();
 }
 
+BOOST_AUTO_TEST_CASE(OtherServers_GetAnUnreadableRequest_AnswerItAndClose)
+{
+  for (const Endpoint& endpoint : { jobs_.Readiness(kStopping), jobs_.Metrics(kStopping) }) {
+    const Callers callers = Connect(1, endpoint);
+    callers.front()->Send("no request\r\n\r\n");
+    BOOST_TEST(WaitUntil([&] { return callers.front()->IsDone(); }, 1'000ms));
+    BOOST_TEST(callers.front()->Status() == kBadRequest);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
