--- a/tests/integration/JobsStopTest.cpp
+++ b/tests/integration/JobsStopTest.cpp
@@ -98,6 +98,23 @@
     return callers;
   }
 
+  /** Connects to one of the host's other servers while it is paused, and sends a request once its
+   * stop has ended listening. */
+  Callers AskAsListeningEnds(const Endpoint& aEndpoint)
+  {
+    Stop();
+    PauseUntil(3'100ms);
+    jobs_.Entry(kStopping).Signal(SIGSTOP);
+    Callers callers = Connect(3, aEndpoint);
+    PauseUntil(3'500ms);
+    jobs_.Entry(kStopping).Signal(SIGCONT);
+    Pause(80ms);
+    for (const auto& caller : callers) {
+      caller->Send("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+    }
+    return callers;
+  }
+
   /** Opens connections that stay open after a first request. */
   Callers ConnectAndAsk(int aCount)
   {
@@ -279,6 +296,23 @@
   CheckEndsInTime();
 }
 
+BOOST_AUTO_TEST_CASE(ReadinessCheck_ConnectsAsListeningEnds_IsAnswered)
+{
+  const Callers callers = AskAsListeningEnds(jobs_.Readiness(kStopping));
+  CheckAllAnswered(callers);
+  BOOST_TEST(CountAnswered(callers) == 3);
+  BOOST_TEST(callers.front()->Status() == kServiceUnavailable);
+  CheckEndsInTime();
+}
+
+BOOST_AUTO_TEST_CASE(Metrics_AreReadAsListeningEnds_AreAnswered)
+{
+  const Callers callers = AskAsListeningEnds(jobs_.Metrics(kStopping));
+  CheckAllAnswered(callers);
+  BOOST_TEST(CountAnswered(callers) == 3);
+  CheckEndsInTime();
+}
+
 BOOST_AUTO_TEST_CASE(OtherServers_GetAnUnreadableRequest_AnswerItAndClose)
 {
   for (const Endpoint& endpoint : { jobs_.Readiness(kStopping), jobs_.Metrics(kStopping) }) {
