An entry host that stops refuses requests that have only partly arrived

A caller of quetzal-entryd that had sent a part of its request when the process ended got no answer. Same cause as in quetzal-jobd: the exit closed a connection on which a request was being read.

Change: from the time of the last answer on, such requests are refused (408, slow-caller, not run).

--- a/include/quetzal/entry/CallerServer.h
+++ b/include/quetzal/entry/CallerServer.h
@@ -33,6 +33,9 @@
   /** Stops accepting connections and closes the idle ones. */
   void StopListening();
 
+  /** Refuses the requests that have only partly arrived. */
+  void EndReading() { server_.EndReading(); }
+
   int OpenConnections() const { return openConnections_; }
 
   /** Returns whether every accepted request is answered and every connection is closed. */
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -177,11 +177,14 @@
 void
 EntryProcess::CheckStopped()
 {
+  const auto elapsed = std::chrono::duration_cast<clock::Milliseconds>(Now() - stopStartedAt_);
+  if (elapsed >= stopSchedule_.lastAnswer_) {
+    callerServer_.EndReading();
+  }
   const bool isIdle = callerServer_.IsDone() && dispatcher_.IsIdle();
   if (!isIdle) {
     flushStartedAt_ = Now();
   }
-  const auto elapsed = std::chrono::duration_cast<clock::Milliseconds>(Now() - stopStartedAt_);
   if (!process::MayExit(stopSchedule_, elapsed, isIdle && HasFlushedClaims())) {
     return;
   }
--- a/tests/integration/EntryStopTest.cpp
+++ b/tests/integration/EntryStopTest.cpp
@@ -148,6 +148,21 @@
   CheckEndsInTime();
 }
 
+BOOST_AUTO_TEST_CASE(Request_IsIncompleteAtTheLastAnswer_IsAnsweredAsTooSlow)
+{
+  const std::string bytes = Serialize(deployment_.MakeRequest("POST", "/", "incomplete"));
+  QTcpSocket caller;
+  BeginRaw(caller, bytes.substr(0, bytes.size() - 2));
+  Stop();
+  std::string answer;
+  WaitUntil([&] {
+    answer += caller.readAll().toStdString();
+    return caller.state() == QAbstractSocket::UnconnectedState;
+  });
+  BOOST_TEST(answer.find("Quetzal-Reason: slow-caller") != std::string::npos);
+  CheckEndsInTime();
+}
+
 BOOST_AUTO_TEST_CASE(Request_IsCompleteTooLateForAnAnswer_IsRefusedAtOnceAndNeverRuns)
 {
   const std::string bytes = Serialize(deployment_.MakeRequest("POST", "/", "too-late"));
