--- a/tests/integration/JobsStopTest.cpp
+++ b/tests/integration/JobsStopTest.cpp
@@ -10,6 +10,7 @@
 
 using namespace harness;
 using namespace std::chrono_literals;
+using quetzal::http::status::kBadRequest;
 using quetzal::http::status::kGatewayTimeout;
 using quetzal::http::status::kServiceUnavailable;
 
@@ -86,11 +87,30 @@
   void BeginRequest(RawCaller& aCaller) { aCaller.Send(NextSubmit()); }
 
   /** Opens connections of callers that send nothing yet. */
-  Callers Connect(int aCount)
+  Callers Connect(int aCount) const { return Connect(aCount, jobs_.Callers(kStopping)); }
+
+  static Callers Connect(int aCount, const Endpoint& aEndpoint)
   {
     Callers callers;
     for (int i = 0; i < aCount; ++i) {
-      callers.push_back(std::make_unique<RawCaller>(jobs_.Callers(kStopping)));
+      callers.push_back(std::make_unique<RawCaller>(aEndpoint));
+    }
+    return callers;
+  }
+
+  /** Connects to one of the host's other servers while it is paused, and sends a request once its
+   * stop has ended listening. */
+  Callers AskAsListeningEnds(const Endpoint& aEndpoint)
+  {
+    Stop();
+    PauseUntil(3'100ms);
+    jobs_.Entry(kStopping).Signal(SIGSTOP);
+    Callers callers = Connect(3, aEndpoint);
+    PauseUntil(3'500ms);
+    jobs_.Entry(kStopping).Signal(SIGCONT);
+    Pause(80ms);
+    for (const auto& caller : callers) {
+      caller->Send("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
     }
     return callers;
   }
@@ -295,6 +315,33 @@
   CheckEndsInTime();
 }
 
+BOOST_AUTO_TEST_CASE(ReadinessCheck_ConnectsAsListeningEnds_IsAnswered)
+{
+  const Callers callers = AskAsListeningEnds(jobs_.Readiness(kStopping));
+  CheckAllAnswered(callers);
+  BOOST_TEST(CountAnswered(callers) == 3);
+  BOOST_TEST(callers.front()->Status() == kServiceUnavailable);
+  CheckEndsInTime();
+}
+
+BOOST_AUTO_TEST_CASE(Metrics_AreReadAsListeningEnds_AreAnswered)
+{
+  const Callers callers = AskAsListeningEnds(jobs_.Metrics(kStopping));
+  CheckAllAnswered(callers);
+  BOOST_TEST(CountAnswered(callers) == 3);
+  CheckEndsInTime();
+}
+
+BOOST_AUTO_TEST_CASE(OtherServers_GetAnUnreadableRequest_AnswerItAndClose)
+{
+  for (const Endpoint& endpoint : { jobs_.Readiness(kStopping), jobs_.Metrics(kStopping) }) {
+    const Callers callers = Connect(1, endpoint);
+    callers.front()->Send("no request\r\n\r\n");
+    BOOST_TEST(WaitUntil([&] { return callers.front()->IsDone(); }, 1'000ms));
+    BOOST_TEST(callers.front()->Status() == kBadRequest);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
