--- a/include/quetzal/node/OwnerChoice.h
+++ b/include/quetzal/node/OwnerChoice.h
@@ -39,11 +39,6 @@
 CellLoad
 LoadOfCell(const std::string& aCell, std::size_t aWidth);
 
-/** Returns cells in the order in which a host should consider them: a host that may claim several
- * takes the widest one and leaves the others to hosts with less to do. */
-std::vector<CellLoad>
-WidestFirst(std::vector<CellLoad> aCells);
-
 /** A host that may own cells. */
 struct OwnerCandidate
 {
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -121,11 +121,7 @@
       !membership_.HoldsLease()) {
     return;
   }
-  std::vector<CellLoad> loads;
   for (const std::string& cell : ConfiguredCells()) {
-    loads.push_back(membership_.LoadOf(cell));
-  }
-  for (const auto& [cell, load] : WidestFirst(std::move(loads))) {
     const bool isOwned = cell == kFleetCell ? fleet_ != nullptr : cells_.contains(cell);
     if (isOwned || claims_.contains(cell) || releasing_.contains(CellKey(cell))) {
       continue;
--- a/src/node/OwnerChoice.cpp
+++ b/src/node/OwnerChoice.cpp
@@ -114,15 +114,6 @@
   return { aCell, kIdleCellLoad + static_cast<double>(aWidth) };
 }
 
-std::vector<CellLoad>
-WidestFirst(std::vector<CellLoad> aCells)
-{
-  std::stable_sort(aCells.begin(), aCells.end(), [](const auto& aLeft, const auto& aRight) {
-    return aLeft.load_ > aRight.load_;
-  });
-  return aCells;
-}
-
 std::size_t
 ClaimRank(const std::string& aHost, const CellLoad& aCell, const OwnerCandidates& aCandidates)
 {
