The end of a gang's member is acknowledged only once the gang's end is stored

What callers may see: a gang that is done runs again (TWICE). The first member's end marks all members as done, and its progress is stored. The ends of the others change nothing more, and were acknowledged at once: before the store had anything. A successor then has the first member's worker alone to learn the end from, and starts the gang again if that one has left. The workers of the others counted as idle and could be moved. The same held for the second of two runs of a task.

Change: an end as done that changes nothing waits for the job's progress if that is not stored yet.

End_OfAnotherMemberOfAGangWhoseEndIsNotStored_IsNotAcknowledged fails before (0 != 1: the other member's worker has forgotten its end while the store refuses changes) and passes after.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -244,6 +244,7 @@
   void LimitBestEffort(WorkerEntry& aEntry);
 
   void StoreProgress(const jobs::Job& aJob, std::function<void()> aDone);
+  bool HasUnstoredProgress(const std::string& aJob) const;
   void FlushProgress();
   void FinishJob(jobs::Job& aJob, jobs::JobState aState, std::function<void()> aDone);
   void StopTasks(const jobs::Job& aJob);
--- a/include/quetzal/cells/WriteChains.h
+++ b/include/quetzal/cells/WriteChains.h
@@ -42,6 +42,9 @@
   /** Returns the number of writes that wait for a change in flight. */
   std::size_t Backlog() const;
 
+  /** Returns whether a write about a subject is pending or in flight. */
+  bool HasUnfinished(const std::string& aSubject) const { return subjects_.contains(aSubject); }
+
   bool IsIdle() const;
 
   /** Returns whether the store refuses changes or is late to answer one. */
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -128,7 +128,8 @@
   } else if (effect.jobFailed_) {
     StopTasks(job);
     FinishJob(job, jobs::JobState::kFailed, confirm);
-  } else if (effect.changed_) {
+  } else if (effect.changed_ || (aKind == jobs::EndKind::kDone && HasUnstoredProgress(job.id_))) {
+    // An end that changes nothing repeats another run's end, which may not be stored yet.
     StoreProgress(job, confirm);
   } else {
     confirm();
@@ -215,6 +216,12 @@
   }
 }
 
+bool
+Cell::HasUnstoredProgress(const std::string& aJob) const
+{
+  return progressWaiters_.contains(aJob) || writer_.HasUnfinished(aJob);
+}
+
 void
 Cell::FlushProgress()
 {
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -66,6 +66,33 @@
   BOOST_TEST(worker.ended_.size() == 1U);
 }
 
+/** One member's end represents the gang; the ends of the others are all that a successor has if
+ * that member's worker leaves. */
+BOOST_AUTO_TEST_CASE(End_OfAnotherMemberOfAGangWhoseEndIsNotStored_IsNotAcknowledged)
+{
+  FakeWorker& worker = AddWorker("w1");
+  FakeWorker& other = AddWorker("w2");
+  const auto cell = TakeOver("a");
+  jobs::JobSpec spec = Spec(2);
+  spec.steps_.push_back(spec.steps_.front());
+  spec.steps_.front().gang_ = true;
+  spec.steps_.front().cpu_ = 20'000;
+  spec.steps_.back().after_ = { 0 };
+  Submit(*cell, "job1", spec);
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() + other.running_.size() == 2; }));
+  RunFor(50ms);
+  for (int i = 0; i < 100; ++i) {
+    store_.InjectFault(CommitFault::kRefused);
+  }
+  for (FakeWorker* member : { &worker, &other }) {
+    BOOST_REQUIRE(member->running_.begin()->first.step_ == 0);
+    member->End(member->running_.begin()->first, jobs::EndKind::kDone);
+    RunFor(200ms);
+  }
+  BOOST_TEST(worker.ended_.size() == 1U);
+  BOOST_TEST(other.ended_.size() == 1U);
+}
+
 /** While the store is away registrations lapse, and come back with it. */
 BOOST_AUTO_TEST_CASE(Worker_LosesItsRegistrationBeforeItsEndIsStored_IsNotForgotten)
 {
