During a hand-over the ends of draining workers are still read

What callers may see: a task that is done runs again (TWICE). During a hand-over no more ends are read, so that the cell is soon idle; the successor reads them. A draining worker may be gone by then, with ends that it has listed in its answer to a poll in flight. Other workers stay: their runs count as unfinished, and a host with unfinished runs is not moved. Found by reading.

Change: draining workers are polled until the cell is released. They get no tasks, so this ends by itself.

HandOver_WorkerDrains_ItsEndsAreStillReadAndStored fails before (the successor starts job1.0.0.0 again) and passes after. HandOver_TasksKeepEnding_CellReadsNoMoreEndsAndIsSoonIdle is unchanged and passes.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -133,8 +133,8 @@
    * unavailable. */
   void EvictTasks(const std::string& aWorker);
 
-  /** Starts no more tasks, reads no more ends and writes what is known, since the cell is about to
-   * be handed over. */
+  /** Starts no more tasks, reads no more ends, but those of draining workers, and writes what is
+   * known, since the cell is about to be handed over. */
   void BeginHandOver();
 
   /** Returns whether all that is known is stored: no write is pending or in flight. */
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -214,7 +214,10 @@
   placementTimer_.stop();
   periodicTimer_.stop();
   for (const auto& [id, entry] : workers_) {
-    entry.worker_->StopPolling();
+    // A draining worker may be gone before a successor polls it.
+    if (!entry.worker_->Registration().draining_) {
+      entry.worker_->StopPolling();
+    }
   }
   FlushProgress();
 }
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -151,6 +151,30 @@
   BOOST_TEST(!other.running_.contains(first_));
 }
 
+/** A draining worker may be gone before a successor polls it. */
+BOOST_AUTO_TEST_CASE(HandOver_WorkerDrains_ItsEndsAreStillReadAndStored)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(2));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 2; }));
+  platformState_.registrations_.at("w1").draining_ = true;
+  Q_EMIT platformState_.WorkersChanged();
+  RunFor(50ms);
+  cell->BeginHandOver();
+  worker.End(first_, jobs::EndKind::kDone);
+  RunFor(150ms);
+  BOOST_TEST(cell->IsIdle());
+  cell->Abandon();
+  worker.reachable_ = false;
+  FakeWorker& other = AddWorker("w2");
+  cell = TakeOver("b");
+  RunFor(200ms);
+  cell->MarkTerminated({ "w1" });
+  BOOST_TEST(WaitForRun(other, { "job1", 0, 0, 1 }));
+  BOOST_TEST(!other.running_.contains(first_));
+}
+
 /** Ends that are read all the time kept the cell from its release until a time-out. */
 BOOST_AUTO_TEST_CASE(HandOver_TasksKeepEnding_CellReadsNoMoreEndsAndIsSoonIdle)
 {
