A worker that lists only some of its ends is not taken for one whose other runs are gone

What callers may see: tasks that are done run again (TWICE). A worker lists 500 ends at a time. A run whose end is among the others is in neither list: its owner took it for a run that had never started, and a successor took the worker for one that it knows all of. Both started the task again. It needs a store that is away for long, or a worker whose ends are not acknowledged.

Change: an answer with as many ends as a worker lists at a time is said to be partial. No run counts as missing by it, and it does not synchronize a successor; the next answers list the rest as ends are acknowledged. The fake worker lists 500 ends at a time, too, and a test may set fewer.

--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -59,7 +59,7 @@
   void SetInRoster(bool aInRoster) { inRoster_ = aInRoster; }
   bool IsInRoster() const { return inRoster_; }
 
-  /** Returns whether the worker has answered a poll under this owner's fence. */
+  /** Returns whether the worker has answered a poll under this owner's fence with all its ends. */
   bool IsSynchronized() const { return synchronized_; }
 
   /** Returns whether the worker has answered its last poll. */
@@ -144,7 +144,8 @@
   void SendStop(const jobs::TaskId& aTask, std::int64_t aRun);
   void BeginIncarnation(std::int64_t aStartedMs);
   void ReadEnds(const std::vector<workers::EndedTask>& aEnds);
-  void ReadRunning(const std::vector<workers::RunningTask>& aRunning, clock::Moment aSentAt);
+  /** @return the tasks whose known run is running. */
+  std::set<jobs::TaskId> ReadRunning(const std::vector<workers::RunningTask>& aRunning);
   void CheckMissingRuns(const std::set<jobs::TaskId>& aSeen, clock::Moment aSentAt);
   void EndAllRuns(jobs::EndKind aKind);
   void SchedulePoll(clock::Milliseconds aDelay);
--- a/include/quetzal/workers/WorkerPort.h
+++ b/include/quetzal/workers/WorkerPort.h
@@ -101,6 +101,7 @@
   std::int64_t startedMs_ = 0; ///< 0 if the worker did not report it.
   std::vector<RunningTask> running_;
   std::vector<EndedTask> ended_;
+  bool mayHaveMoreEnds_ = false; ///< The worker may list further ends once these are acknowledged.
 };
 
 /** Asks for a worker's status. Renews the lease of all its runs if a lease end is set. */
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -345,9 +345,13 @@
     state_.lastAcknowledgedEnd_ = std::max(state_.lastAcknowledgedEnd_, aAcknowledged);
   }
   state_.clock_ = { aStatus.clockMs_, std::chrono::steady_clock::now() };
-  synchronized_ = true;
+  // A run that is in neither list may be among the ends that are not listed yet.
+  synchronized_ = synchronized_ || !aStatus.mayHaveMoreEnds_;
   ReadEnds(aStatus.ended_);
-  ReadRunning(aStatus.running_, aSentAt);
+  const std::set<jobs::TaskId> running = ReadRunning(aStatus.running_);
+  if (!aStatus.mayHaveMoreEnds_) {
+    CheckMissingRuns(running, aSentAt);
+  }
   const bool idle = state_.runs_.empty() && aStatus.ended_.empty();
   if (!state_.unrecordedEnds_.empty()) {
     SchedulePoll(kRecordDelay);
@@ -427,8 +431,8 @@
   }
 }
 
-void
-Worker::ReadRunning(const std::vector<workers::RunningTask>& aRunning, clock::Moment aSentAt)
+std::set<jobs::TaskId>
+Worker::ReadRunning(const std::vector<workers::RunningTask>& aRunning)
 {
   std::set<jobs::TaskId> seen;
   for (const workers::RunningTask& running : aRunning) {
@@ -446,7 +450,7 @@
       entry->second.answeredAt_ = std::chrono::steady_clock::now();
     }
   }
-  CheckMissingRuns(seen, aSentAt);
+  return seen;
 }
 
 void
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -209,6 +209,42 @@
   BOOST_TEST(worker.starts_.size() == 2U);
 }
 
+/** A worker lists a bounded number of ends at a time. */
+BOOST_AUTO_TEST_CASE(Takeover_WorkerListsOnlySomeOfItsEnds_TasksAreNotStartedAgain)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(4));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 4; }));
+  cell->Abandon();
+  worker.maxListedEnds_ = 2;
+  for (int i = 0; i < 4; ++i) {
+    worker.End({ "job1", 0, 0, i }, jobs::EndKind::kDone);
+  }
+  cell = TakeOver("b");
+  BOOST_TEST(RunUntil([&] { return StateOf(*cell, "job1") == "completed"; }));
+  BOOST_TEST(worker.starts_.size() == 4U);
+}
+
+/** A run that has ended is missing from both lists if a worker lists only some of its ends. */
+BOOST_AUTO_TEST_CASE(Worker_ListsOnlySomeOfItsEnds_TasksAreNotStartedAgain)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(4));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 4; }));
+  RunFor(50ms);
+  worker.maxListedEnds_ = 2;
+  for (int i = 0; i < 5; ++i) {
+    store_.InjectFault(CommitFault::kRefused);
+  }
+  for (int i = 0; i < 4; ++i) {
+    worker.End({ "job1", 0, 0, i }, jobs::EndKind::kDone);
+  }
+  BOOST_TEST(RunUntil([&] { return StateOf(*cell, "job1") == "completed"; }));
+  BOOST_TEST(worker.starts_.size() == 4U);
+}
+
 /** The predecessor's clock was ahead: a repetition that it started is not due for the successor. */
 BOOST_AUTO_TEST_CASE(Takeover_ProgressOfARepetitionThatIsNotDueYet_IsKept)
 {
--- a/tests/unit/FakeWorkers.cpp
+++ b/tests/unit/FakeWorkers.cpp
@@ -178,8 +178,10 @@
     status.running_.push_back(
       { task, run.run_, {}, 100, measurement == measurements_.end() ? 0 : measurement->second });
   }
-  status.ended_ = ended_;
-  listed_ = ended_.empty() ? listed_ : ended_.back().number_;
+  const std::size_t listed = std::min(ended_.size(), maxListedEnds_);
+  status.ended_.assign(ended_.begin(), ended_.begin() + static_cast<std::ptrdiff_t>(listed));
+  status.mayHaveMoreEnds_ = listed == maxListedEnds_;
+  listed_ = status.ended_.empty() ? listed_ : status.ended_.back().number_;
   return status;
 }
 
--- a/tests/unit/FakeWorkers.h
+++ b/tests/unit/FakeWorkers.h
@@ -60,6 +60,7 @@
   std::int64_t nextEnd_ = 1;
   std::int64_t acknowledged_ = 0;
   std::int64_t listed_ = 0; ///< The number of the last end that an answer to a poll has listed.
+  std::size_t maxListedEnds_ = 500; ///< The most ends that an answer to a poll lists.
   std::map<jobs::TaskId, std::int64_t> highestEndedRuns_;
   std::vector<std::pair<jobs::TaskId, std::int64_t>> starts_; ///< Every run that has started.
   std::vector<workers::StartOrder> late_;
