A stored end of one incarnation no longer acknowledges an end of the next at another address

What callers may see: a task that is done runs again (TWICE). A worker that starts again under its id at another address gets a new entry in the cell, whose count of incarnations starts anew as well. A write of an end of the earlier incarnation that is still on its way then marked the end of the same number of the new one as stored; the worker forgot it, and a successor never learnt of it.

Change: the write holds the entry that reported the end, not its id.

End_OfAnIncarnationAtAnotherAddressIsStored_EndOfTheNextIsNotAcknowledged fails before (0 != 1: the end is forgotten while the store refuses it) and passes after.

--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -3,6 +3,7 @@
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
 
+#include <QtCore/QPointer>
 #include <algorithm>
 
 /** Ends of runs and jobs: their effects, what is stored of them, and when they are acknowledged to
@@ -80,10 +81,11 @@
 {
   const std::string id = aEntry.worker_->Registration().id_;
   const int incarnation = aEntry.worker_->Incarnation();
-  const auto confirm = [this, id, incarnation, aNumber] {
-    const auto entry = workers_.find(id);
-    if (aNumber != 0 && entry != workers_.end()) {
-      entry->second.worker_->MarkRecorded(incarnation, aNumber);
+  // Not by its id: another incarnation may have it by then, and numbers its ends anew.
+  const QPointer<Worker> worker(aEntry.worker_);
+  const auto confirm = [worker, incarnation, aNumber] {
+    if (aNumber != 0 && worker) {
+      worker->MarkRecorded(incarnation, aNumber);
     }
   };
   UpdateFailureScore(aEntry, aKind);
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -93,6 +93,35 @@
   BOOST_TEST(other.ended_.size() == 1U);
 }
 
+/** Numbers of ends start anew with each incarnation. */
+BOOST_AUTO_TEST_CASE(End_OfAnIncarnationAtAnotherAddressIsStored_EndOfTheNextIsNotAcknowledged)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(2));
+  Submit(*cell, "job2", Spec(2));
+  BOOST_TEST(RunUntil([&] { return worker.running_.size() == 4; }));
+  RunFor(50ms);
+  store_.InjectFault(CommitFault::kDelayed);
+  const std::size_t commits = store_.CommitCount();
+  worker.End(first_, jobs::EndKind::kDone);
+  BOOST_TEST(RunUntil([&] { return store_.CommitCount() > commits; }));
+  worker.Reboot();
+  worker.downUntil_ = {};
+  platformState_.registrations_.at("w1").endpoint_.port_ = 81;
+  Q_EMIT platformState_.WorkersChanged();
+  const jobs::TaskId second{ "job2", 0, 0, 0 };
+  BOOST_TEST(WaitForRun(worker, second));
+  worker.End(second, jobs::EndKind::kDone);
+  BOOST_TEST(RunUntil([&] { return worker.listed_ == 1; }));
+  store_.InjectFault(CommitFault::kNone);
+  for (int i = 0; i < 100; ++i) {
+    store_.InjectFault(CommitFault::kRefused);
+  }
+  RunFor(500ms);
+  BOOST_TEST(worker.ended_.size() == 1U);
+}
+
 /** While the store is away registrations lapse, and come back with it. */
 BOOST_AUTO_TEST_CASE(Worker_LosesItsRegistrationBeforeItsEndIsStored_IsNotForgotten)
 {
