The property test of ownership plays hand-overs, and moves of workers that are reported as idle

It played takeovers only. Now cells are also handed over, up to three times in a row, idle or still busy, to an owner of another name; workers are cordoned and emptied, at times while the store refuses changes, and one that its owner reports as cordoned and idle is moved: it comes back without its ends, and those that it has listed count as read. Every fault and check of before stays; the steps of each seed are others.

--- a/tests/unit/CellProtocolTest.cpp
+++ b/tests/unit/CellProtocolTest.cpp
@@ -1,5 +1,6 @@
-/** A property test of cell ownership and task execution: owners change and paused owners resume,
- * orders and changes are lost or late, workers become unresponsive, restart and let leases lapse.
+/** A property test of cell ownership and task execution: owners change, hand over and paused owners
+ * resume, orders and changes are lost or late, workers become unresponsive, restart, are moved once
+ * they are idle, and let leases lapse.
  * The seeds are fixed; QUETZAL_PROTOCOL_SEEDS="FIRST COUNT" runs others. */
 
 #include "tests/unit/CellFixture.h"
@@ -18,6 +19,10 @@
 constexpr int kWorkers = 4;
 constexpr int kMaxJobs = 12;
 constexpr qint64 kRecoveryMs = 25'000;
+/** A hand-over ends after at most this time, whether or not the cell is idle. */
+constexpr int kMaxHandOverMs = 150;
+constexpr int kMaxHandOversInARow = 3;
+constexpr int kMaxDrainMs = 60;
 
 /** One owner, which may continue after another has taken over, as a paused process does. */
 struct Owner
@@ -133,11 +138,69 @@
     owners_.push_back(std::move(owner));
   }
 
+  /** Hands the cell over, several times in a row. Some cells are released while they are busy. */
+  void HandOver()
+  {
+    for (int left = 1 + Draw(kMaxHandOversInARow); left > 0 && HasOwner(); --left) {
+      Cell& cell = *owners_.back().cell_;
+      EmptyWorker();
+      RunEventLoop(std::chrono::milliseconds(Draw(kMaxDrainMs)));
+      MoveIdleWorker();
+      cell.BeginHandOver();
+      EndTask();
+      RunEventLoop(std::chrono::milliseconds(Draw(kMaxHandOverMs)));
+      MoveIdleWorker();
+      cell.Abandon();
+      ChangeOwner();
+    }
+  }
+
+  /** Cordons a worker and ends all its tasks as done, sometimes while the store refuses changes. */
+  void EmptyWorker()
+  {
+    FakeWorker& worker = RandomWorker();
+    owners_.back().cell_->CordonWorkers({ worker.id_ });
+    for (int i = Draw(4); i > 0; --i) {
+      store_.InjectFault(CommitFault::kRefused);
+    }
+    while (!worker.running_.empty()) {
+      worker.End(worker.running_.begin()->first, jobs::EndKind::kDone);
+    }
+  }
+
+  /** Moves the host of a cordoned worker if the owner reports that nothing is left there. The ends
+   * that the worker has listed count as read from then on, as nobody can read them again. */
+  void MoveIdleWorker()
+  {
+    if (!HasOwner()) {
+      return;
+    }
+    for (const cells::WorkerReport& report : owners_.back().cell_->Report().workers_) {
+      FakeWorker& worker = fleet_.At(report.id_);
+      if (!report.cordoned_ || !report.synchronized_ || report.runs_ != 0) {
+        continue;
+      }
+      for (const workers::EndedTask& end : worker.ended_) {
+        if (end.number_ <= worker.listed_ && end.kind_ == jobs::EndKind::kDone) {
+          done_.insert(end.task_);
+        }
+      }
+      worker.Reboot();
+    }
+  }
+
+  void CordonWorker()
+  {
+    if (HasOwner()) {
+      owners_.back().cell_->CordonWorkers({ RandomWorker().id_ });
+    }
+  }
+
   bool HasOwner() const { return !owners_.empty() && !*owners_.back().takenOverAt_; }
 
   void Step()
   {
-    switch (Draw(12)) {
+    switch (Draw(15)) {
       case 0:
       case 1:
       case 2:
@@ -164,6 +227,15 @@
         store_.InjectFault(static_cast<CommitFault>(Draw(4)));
         break;
       case 10:
+        HandOver();
+        break;
+      case 11:
+        CordonWorker();
+        break;
+      case 12:
+        MoveIdleWorker();
+        break;
+      case 13:
         RandomWorker().startFates_.push_back(static_cast<OrderFate>(Draw(4)));
         break;
       default:
@@ -236,6 +308,7 @@
         ChangeOwner();
         continue;
       }
+      owners_.back().cell_->CordonWorkers({});
       RunEventLoop(10ms);
       for (const std::string& id : workerIds_) {
         FakeWorker& worker = fleet_.At(id);
