Ending a job records its end before the job is destroyed, without a copy of its id

What callers saw: nothing. The linter rejected the copy of the id (performance-unnecessary-copy-initialization), and its advice, a reference, would bring back the read of freed memory.

Change: JobRegistry::End records the end first and removes the job last.

Evidence: the suites JobRegistryTest and Overload pass, valgrind reports 0 errors for JobRegistryTest, and clang-tidy is clean for the file.

--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -76,10 +76,9 @@
 void
 JobRegistry::End(const std::string& aId, const EndedJob& aEnd)
 {
-  // The id may belong to the job, which is destroyed.
-  const std::string id = aId;
-  Remove(id);
-  AddEnded(id, aEnd);
+  // The id may belong to the job, so the job is destroyed last.
+  AddEnded(aId, aEnd);
+  Remove(aId);
 }
 
 std::vector<std::string>
