The test of overlapping stops says which hand-overs are wrong

The rule itself is checked now, beside that bound: while hosts stop in turn no host that is not overloaded hands a cell over. IsOverloaded is public for that. It passes: all hand-overs of the played series are of overloaded hosts.

--- a/include/quetzal/node/OwnerChoice.h
+++ b/include/quetzal/node/OwnerChoice.h
@@ -72,6 +72,11 @@
   bool isAnyCellVacant_ = false;     ///< Whether a cell is changing its owner now.
 };
 
+/** Returns whether a host has too much to do to wait until hosts have settled. While hosts stop in
+ * turn, it may well own many cells for a short time. */
+bool
+IsOverloaded(const BalanceState& aState, clock::Moment aNow);
+
 /** Returns the cell that a host should hand over, if any. A hand-over is due if another host would
  * have at most half of this host's load per core after it took the cell: cells are rebalanced when
  * hosts return after others took over their cells, and when the first host to start took many.
--- a/src/node/OwnerChoice.cpp
+++ b/src/node/OwnerChoice.cpp
@@ -64,15 +64,6 @@
   return aNow - aState.lastStopAt_ < kSettleTime;
 }
 
-/** Returns whether a host has too much to do to wait. While hosts stop in turn, it may well own
- * many cells for a short time. */
-bool
-IsOverloaded(const BalanceState& aState, const OwnerCandidate& aSelf, clock::Moment aNow)
-{
-  const bool ownsMany = aState.cells_.size() >= kManyCells && !AreHostsStopping(aState, aNow);
-  return ownsMany || LoadPerCore(aSelf) >= kOverloadPerCore;
-}
-
 bool
 IsSettled(const BalanceState& aState,
           const OwnedCellLoad& aCell,
@@ -90,12 +81,12 @@
              const OwnerCandidate& aTarget,
              clock::Moment aNow)
 {
-  const OwnerCandidate& self = aState.candidates_.at(aState.host_);
-  const double ratio = LoadPerCore(self) / LoadPerCore(aTarget, aCell.cell_.load_);
+  const double ratio =
+    LoadPerCore(aState.candidates_.at(aState.host_)) / LoadPerCore(aTarget, aCell.cell_.load_);
   if (IsSettled(aState, aCell, aTarget, aNow)) {
     return ratio >= kMinLoadRatio;
   }
-  return IsOverloaded(aState, self, aNow) && ratio >= kOverloadRatio;
+  return IsOverloaded(aState, aNow) && ratio >= kOverloadRatio;
 }
 
 } // namespace
@@ -133,6 +124,13 @@
   return static_cast<std::size_t>(place - ranked.begin());
 }
 
+bool
+IsOverloaded(const BalanceState& aState, clock::Moment aNow)
+{
+  const bool ownsMany = aState.cells_.size() >= kManyCells && !AreHostsStopping(aState, aNow);
+  return ownsMany || LoadPerCore(aState.candidates_.at(aState.host_)) >= kOverloadPerCore;
+}
+
 std::optional<std::string>
 CellToHandOver(const BalanceState& aState, clock::Moment aNow)
 {
--- a/tests/unit/OwnerChoiceTest.cpp
+++ b/tests/unit/OwnerChoiceTest.cpp
@@ -296,8 +296,10 @@
 {
   StartAndSettle();
   const int handOvers = deployment_.HandOvers();
+  const int withoutOverload = deployment_.HandOversWithoutOverload();
   const int changes = deployment_.Changes();
   StopInOverlappingSeries();
+  BOOST_TEST(deployment_.HandOversWithoutOverload() == withoutOverload);
   BOOST_TEST_MESSAGE("hand-overs " << deployment_.HandOvers() - handOvers << " of "
                                    << deployment_.Changes() - changes << " changes");
   BOOST_TEST(deployment_.HandOvers() - handOvers <= 4);
--- a/tests/unit/PlayedDeployment.cpp
+++ b/tests/unit/PlayedDeployment.cpp
@@ -139,6 +139,7 @@
   if (now_ - since >= node::BalanceDelay(state)) {
     host.unevenSince_.reset();
     ++handOvers_;
+    handOversWithoutOverload_ += node::IsOverloaded(state, now_) ? 0 : 1;
     Release(*cell);
   }
 }
--- a/tests/unit/PlayedDeployment.h
+++ b/tests/unit/PlayedDeployment.h
@@ -30,6 +30,8 @@
   int Changes() const { return changes_; }
   /** Returns how often a host has handed over a cell to balance the load. */
   int HandOvers() const { return handOvers_; }
+  /** Returns how many of these were begun by a host that was not overloaded. */
+  int HandOversWithoutOverload() const { return handOversWithoutOverload_; }
   /** Returns the cells that a host owns. */
   std::set<std::string> CellsOf(const std::string& aHost) const;
   const std::string& OwnerOf(const std::string& aCell) const { return cells_.at(aCell).owner_; }
@@ -70,6 +72,7 @@
   clock::Moment lastStopAt_{};
   int changes_ = 0;
   int handOvers_ = 0;
+  int handOversWithoutOverload_ = 0;
 };
 
 } // namespace quetzal::test
