Hosts in maintenance count towards a pool's target again, beside hosts that long-running tasks need

Cause: since a pool kept as many hosts beyond its target as it had in maintenance. A wave has some hundred hosts down at this size, and each is back after about the time that a move takes; the pools whose turn began got their hosts half a second later (event=plan at 10.2 s: 373 hosts up before, 317 since).

Change: a pool gives away what is beyond its target, but no host that its long-running tasks need to be up.

--- a/src/fleet/Planner.cpp
+++ b/src/fleet/Planner.cpp
@@ -97,17 +97,6 @@
     }));
 }
 
-/** Returns how many hosts a pool has beyond its target. Hosts in maintenance are not surplus: until
- * they are back, the pool needs the others. */
-int
-CountSurplus(const FleetView& aView, const std::string& aPool, int aBeyondTarget)
-{
-  const auto down = std::count_if(aView.hosts_.begin(), aView.hosts_.end(), [&](const Host& aHost) {
-    return aHost.pool_ == aPool && aHost.state_ == HostState::kMaintenance;
-  });
-  return std::max(aBeyondTarget - static_cast<int>(down), 0);
-}
-
 /** The hosts that a pool lacks. */
 struct Shortage
 {
@@ -117,6 +106,27 @@
   auto operator<=>(const Shortage&) const = default;
 };
 
+/** Returns how many hosts a pool needs for its long running tasks, waiting ones aside. */
+double
+HostsToKeep(const FleetView& aView, const std::string& aPool, const PlannerOptions& aOptions)
+{
+  const PoolDemand& demand = aView.pools_.at(aPool);
+  return std::ceil(HostsForLongRunning(demand, SizeOfHosts(aView), aOptions)) + aOptions.minHosts_;
+}
+
+/** Returns how many of its hosts a pool can do without. Hosts in maintenance are soon back and
+ * count towards the target, but long running tasks need hosts that are up now.
+ * @param aBeyondTarget hosts beyond the pool's target. */
+int
+CountSurplus(const FleetView& aView,
+             const std::string& aPool,
+             const PlannerOptions& aOptions,
+             int aBeyondTarget)
+{
+  const double spare = CountHosts(aView, aPool, true) - HostsToKeep(aView, aPool, aOptions);
+  return static_cast<int>(std::clamp(spare, 0.0, static_cast<double>(aBeyondTarget)));
+}
+
 /** Returns how many of a pool's missing hosts are for waiting long running tasks. A pool that has
  * enough hosts for all its long running tasks gets none: tasks that can never be placed would
  * attract all hosts. */
@@ -127,8 +137,7 @@
 {
   const PoolDemand& demand = aView.pools_.at(aPool);
   const int waiting = std::min(demand.unschedulableTasks_, aOptions.maxHostsForUnschedulable_);
-  const double filled = std::ceil(HostsForLongRunning(demand, SizeOfHosts(aView), aOptions));
-  const double lacking = filled + aOptions.minHosts_ + waiting - CountHosts(aView, aPool);
+  const double lacking = HostsToKeep(aView, aPool, aOptions) + waiting - CountHosts(aView, aPool);
   return static_cast<int>(std::clamp(lacking, 0.0, static_cast<double>(waiting)));
 }
 
@@ -169,7 +178,7 @@
       shortages[pool] = { std::min(forWaiting, difference), difference };
       totalShortage += difference;
     } else if (difference < 0 && aView.pools_.at(pool).fresh_) {
-      surplus[pool] = CountSurplus(aView, pool, -difference);
+      surplus[pool] = CountSurplus(aView, pool, aOptions, -difference);
     }
   }
   std::vector<const Host*> standbyHosts;
