Review, case 1: TWICE (takeover-cut)

Found by asking how the entry of KNOWN-RED.txt can come about. The cases of part one move up by one number; a gang on a queue with advice, the case of part one that is nearest to a missing feature, gives its folder up and stays as a scenario of the stand-ins.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../play.sh" never-fitting 3 "$(dirname "$0")"
+exec "$(dirname "$0")/../play.sh" takeover-cut 3 "$(dirname "$0")"
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../play.sh" wave 3 "$(dirname "$0")"
+exec "$(dirname "$0")/../play.sh" dropped-route 3 "$(dirname "$0")"
--- a/review/standin/Fleet.h
+++ b/review/standin/Fleet.h
@@ -36,6 +36,7 @@
   int starts_ = 0;
   int running_ = 0;
   int failedAndSeen_ = 0;        ///< Ends `failed` that `last-seen` has reached.
+  int startsBeside_ = 0;         ///< Starts while another run of it is at work.
   int startsBeyondFailures_ = 0; ///< Starts after as many such ends as there are attempts.
   bool done_ = false;
 };
@@ -92,6 +93,9 @@
   };
 
   Response Serve(const Request& aRequest);
+  Response CarryOut(const Request& aRequest,
+                    const Value& aBody,
+                    std::unique_lock<std::mutex>& aLock);
   Response Start(const Value& aBody);
   Response Stop(const Value& aBody);
   Response Hold() const;
@@ -112,6 +116,9 @@
   std::int64_t born_;
   Moment startedAt_;
   bool dead_ = false;
+  std::optional<Milliseconds> cutAtTakeover_;
+  std::int64_t fenceBeforeCut_ = 0;
+  Moment cutUntil_;
   std::int64_t fence_ = 0;
   std::int64_t leaseEndMs_ = 0;
   std::int64_t nextEnd_ = 1;
@@ -149,6 +156,16 @@
   /** The machine's minion ends; another life begins after @p aDown. */
   void Crash(const std::string& aMachine, Milliseconds aDown);
 
+  /** Cuts a machine's minion off one way, for @p aTime, once it has answered its next owner's first
+   * look: calls reach it and are carried out, answers do not come back. */
+  void CutAnswersAfterTakeover(const std::string& aMachine, Milliseconds aTime);
+
+  /** Returns whether a cut that was asked for has begun. */
+  bool AreAnswersCut(const std::string& aMachine);
+
+  /** Returns the machine on which a subtask runs; empty if none. */
+  std::string MachineOf(const std::string& aTask);
+
   /** Leaves calls about machines without an answer and without effect from the next order for
    * upkeep on, for @p aTime. */
   void GoSilentAtNextUpkeep(Milliseconds aTime);
--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -19,6 +19,7 @@
     { "advised-gang", PlayAdvisedGang },
     { "advised-burst", PlayAdvisedBurst },
     { "owner-killed", PlayOwnerKilled },
+    { "takeover-cut", PlayTakeoverCut },
     { "moved-queue", PlayMovedQueue },
   };
   const auto scenario = kScenarios.find(aCount == 6 ? aArguments[1] : "");
--- a/review/standin/OwnerKilled.cpp
+++ b/review/standin/OwnerKilled.cpp
@@ -3,6 +3,7 @@
 
 #include "review/standin/World.h"
 
+#include <csignal>
 #include <thread>
 
 namespace review {
@@ -43,7 +44,7 @@
     return Verdict::kNotRun;
   }
   if (aWorld.HasTrouble()) {
-    aWorld.Kill(owner);
+    aWorld.Signal(owner, SIGKILL);
   }
   std::this_thread::sleep_for(kWatched);
   const int over = aWorld.Machines().StartsOverCapacity();
--- a/review/standin/World.cpp
+++ b/review/standin/World.cpp
@@ -176,13 +176,13 @@
 }
 
 void
-World::Kill(int aFront)
+World::Signal(int aFront, int aSignal)
 {
   int pid = 0;
   std::ifstream(pids_ + "/pid-" + std::to_string(aFront)) >> pid;
-  record_.Add("kill front ", aFront);
+  record_.Add("signal ", aSignal, " to front ", aFront);
   if (pid > 0) {
-    ::kill(pid, SIGKILL);
+    ::kill(pid, aSignal);
   }
 }
 
--- a/review/standin/World.h
+++ b/review/standin/World.h
@@ -40,8 +40,8 @@
   /** Returns the front that owns a service, as it is named in the settings; -1 if none does. */
   int OwnerOf(const std::string& aService) const;
 
-  /** Kills a front. */
-  void Kill(int aFront);
+  /** Sends a signal to a front. */
+  void Signal(int aFront, int aSignal);
   bool HasTrouble() const { return hasTrouble_; }
 
   /** Sets whether minions reject what does not fit, from the next configuration on. */
@@ -105,6 +105,8 @@
 Verdict
 PlayOwnerKilled(World& aWorld);
 Verdict
+PlayTakeoverCut(World& aWorld);
+Verdict
 PlayMovedQueue(World& aWorld);
 
 } // namespace review
