A new owner counts on the lease that its predecessor gave a worker

Cause: WorkerState::leaseEndMs_ began at 0 in each new owner, though a lease is never shortened and applies to all runs on a worker. A worker that had answered the new owner once and then fell silent was taken for lapsed when the start's own window (1 s) was over; the predecessor's renewal held for 5 s. Ruled out: the wait for a predecessor's workers, which covers only those that have not answered.

Change: the first answer of an incarnation sets its clock and the end of its lease to the longest that any owner can have granted. This also covers a worker that is removed and registered again under one owner, and a new incarnation that a predecessor still polls. An incarnation whose clock is not known gets no starts.

--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -17,6 +17,10 @@
   bool operator==(const LeaseTimes&) const = default;
 };
 
+/** Returns the longest lease that a worker's clock can show after an owner has granted one. */
+clock::Milliseconds
+LongestLease(const LeaseTimes& aTimes);
+
 /** Returns the time since the store may have ended this owner's lease, or 0 if the lease has
  * certainly not ended. Once the lease has ended, the cell may have another owner. */
 using LeaseLapseClock = std::function<clock::Milliseconds()>;
--- a/include/quetzal/workers/WorkerState.h
+++ b/include/quetzal/workers/WorkerState.h
@@ -66,7 +66,9 @@
   Capacity used_;
   RunCounts counts_;
   std::optional<ClockReading> clock_;
-  std::int64_t leaseEndMs_ = 0;      ///< Latest lease end sent, on the worker's clock.
+  /** Latest end that the lease may have, on the worker's clock: as sent by this owner, or by an
+   * earlier one before the incarnation's first answer. */
+  std::int64_t leaseEndMs_ = 0;
   std::int64_t startedMs_ = 0;       ///< Unix time of the incarnation's start; 0: not known yet.
   std::int64_t lastReportedEnd_ = 0; ///< Ends up to this number have been reported to the cell.
   std::int64_t lastAcknowledgedEnd_ = 0;  ///< Ends up to this number have been acknowledged.
@@ -90,6 +92,11 @@
 std::int64_t
 ClockAt(const WorkerState& aState, clock::Moment aNow);
 
+/** Sets the worker's clock from the first answer of an incarnation. An earlier owner may have
+ * renewed its lease just before. @param aLongestLease the longest lease that any owner grants. */
+void
+BeginClock(WorkerState& aState, const ClockReading& aReading, clock::Milliseconds aLongestLease);
+
 /** Returns whether the lease of all runs on the worker has certainly lapsed, even on a clock that
  * is slow by kMaxClockDrift. */
 bool
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -298,8 +298,7 @@
 Cell::ExpireUnresponsiveWorkers()
 {
   const clock::Moment now = Now();
-  const auto lease = std::chrono::duration_cast<clock::Milliseconds>(context_.times_.lease_ *
-                                                                     (1 + workers::kMaxClockDrift));
+  const clock::Milliseconds lease = LongestLease(context_.times_);
   // The predecessor's lease had lapsed before this owner's began. A worker that is cut off together
   // with the predecessor may lose its registration and still run tasks until its lease lapses.
   if (now < startedAt_ + kLeaseLapseGrace + lease + kExpiryMargin) {
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -27,6 +27,13 @@
 
 } // namespace
 
+clock::Milliseconds
+LongestLease(const LeaseTimes& aTimes)
+{
+  return std::chrono::duration_cast<clock::Milliseconds>(aTimes.lease_ *
+                                                         (1 + workers::kMaxClockDrift));
+}
+
 Worker::Worker(const workers::Registration& aRegistration,
                std::unique_ptr<workers::WorkerPort> aPort,
                std::int64_t aFence,
@@ -60,8 +67,9 @@
 bool
 Worker::IsSchedulable() const
 {
-  return synchronized_ && registered_ && inRoster_ && !cordoned_ && !unresponsive_ &&
-         !registration_.draining_ && std::chrono::steady_clock::now() >= startsPausedUntil_;
+  return synchronized_ && state_.clock_ && registered_ && inRoster_ && !cordoned_ &&
+         !unresponsive_ && !registration_.draining_ &&
+         std::chrono::steady_clock::now() >= startsPausedUntil_;
 }
 
 int
@@ -128,6 +136,7 @@
       return;
     case OrderStatus::kOtherIncarnation:
       BeginIncarnation(0);
+      PollSoon();
       return;
     case OrderStatus::kUnhealthy:
     case OrderStatus::kInvalid:
@@ -194,6 +203,7 @@
         return;
       case workers::OrderStatus::kOtherIncarnation:
         BeginIncarnation(0);
+        PollSoon();
         return;
       default:
         QTimer::singleShot(kStopRetryDelay, this, [this, aTask, aRun] {
@@ -344,7 +354,12 @@
   if (aStatus.startedMs_ == startedBefore) {
     state_.lastAcknowledgedEnd_ = std::max(state_.lastAcknowledgedEnd_, aAcknowledged);
   }
-  state_.clock_ = { aStatus.clockMs_, std::chrono::steady_clock::now() };
+  const workers::ClockReading reading{ aStatus.clockMs_, std::chrono::steady_clock::now() };
+  if (state_.clock_) {
+    state_.clock_ = reading;
+  } else {
+    workers::BeginClock(state_, reading, LongestLease(times_));
+  }
   // A run that is in neither list may be among the ends that are not listed yet.
   synchronized_ = synchronized_ || !aStatus.mayHaveMoreEnds_;
   ReadEnds(aStatus.ended_);
@@ -397,7 +412,7 @@
   state_.lastReportedEnd_ = 0;
   state_.lastAcknowledgedEnd_ = 0;
   state_.unrecordedEnds_.clear();
-  state_.leaseEndMs_ = 0;
+  state_.clock_.reset();
   EndAllRuns(jobs::EndKind::kLapsed);
 }
 
--- a/src/workers/WorkerState.cpp
+++ b/src/workers/WorkerState.cpp
@@ -71,6 +71,13 @@
          static_cast<std::int64_t>(MillisecondsSince(aState.clock_->readAt_, aNow));
 }
 
+void
+BeginClock(WorkerState& aState, const ClockReading& aReading, clock::Milliseconds aLongestLease)
+{
+  aState.clock_ = aReading;
+  aState.leaseEndMs_ = aReading.clockMs_ + static_cast<std::int64_t>(aLongestLease.count());
+}
+
 bool
 HasLeaseLapsed(const WorkerState& aState, clock::Moment aNow)
 {
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -358,7 +358,8 @@
   auto cell = TakeOver("a");
   Submit(*cell, "job1", DueIn(600ms));
   cell->Abandon();
-  worker.running_[first_] = { 1, worker.ClockMs() + 10'000 };
+  worker.running_[first_] = { 1 };
+  worker.leaseEndMs_ = worker.ClockMs() + 10'000;
   cell = TakeOver("b");
   BOOST_TEST(WaitForRun(worker, { "job1", 0, 0, 1 }));
   BOOST_TEST(worker.running_.at(first_).run_ == 1);
@@ -382,6 +383,32 @@
 
 // A worker that has left the pool must be removed from the roster: otherwise a successor waits for
 // the worker's lease to lapse, which delayed a task by more than 7 s (smilga-riga, hunt-8f0a-15).
+// TWICE: a task was started elsewhere while its run went on under a predecessor's lease.
+BOOST_AUTO_TEST_CASE(Takeover_WorkerIsSilentAfterItsFirstAnswer_PredecessorsLeaseHolds)
+{
+  times_.lease_ = 3s;
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job0", Spec(1));
+  const jobs::TaskId earlier{ "job0", 0, 0, 0 };
+  BOOST_TEST(WaitForRun(worker, earlier));
+  BOOST_TEST(RunUntil([&] { return worker.leaseEndMs_ > worker.ClockMs() + 2'000; }));
+  worker.End(earlier, jobs::EndKind::kDone);
+  BOOST_TEST(RunUntil([&] { return StateOf(*cell, "job0") == "completed"; }));
+  cell->Abandon();
+  const auto successor = TakeOver("b");
+  BOOST_TEST(RunUntil([&] { return successor->Report().workers_.front().synchronized_; }));
+  worker.answersPolls_ = false;
+  worker.pollTimeout_ = 400ms;
+  BOOST_TEST(RunUntil([&] { return worker.unansweredPolls_ > 0; }));
+  Submit(*successor, "job1", Spec(1));
+  BOOST_TEST(WaitForRun(worker, first_));
+  FakeWorker& other = AddWorker("w2");
+  BOOST_TEST(WaitForRun(other, first_));
+  worker.Expire();
+  BOOST_TEST(fleet_.RunsOf(first_) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(Takeover_WorkerHasLeftBefore_IsNotWaitedFor)
 {
   times_.lease_ = 5s;
--- a/tests/unit/FakeWorkers.cpp
+++ b/tests/unit/FakeWorkers.cpp
@@ -61,8 +61,9 @@
   void Poll(const workers::PollOrder& aOrder,
             std::function<void(const workers::WorkerStatus&)> aDone) override
   {
-    if (!worker_.IsReachable()) {
-      QTimer::singleShot(kCallTimeout, this, [aDone] { aDone({}); });
+    if (!worker_.IsReachable() || !worker_.answersPolls_) {
+      ++worker_.unansweredPolls_;
+      QTimer::singleShot(worker_.pollTimeout_, this, [aDone] { aDone({}); });
       return;
     }
     const workers::WorkerStatus status = worker_.Poll(aOrder);
@@ -129,7 +130,8 @@
   if (ended != highestEndedRuns_.end() && aOrder.run_ <= ended->second) {
     return { workers::OrderStatus::kSuperseded, clock };
   }
-  if (running_.emplace(aOrder.task_, Run{ aOrder.run_, aOrder.deadlineMs_ }).second) {
+  leaseEndMs_ = std::max(leaseEndMs_, aOrder.deadlineMs_);
+  if (running_.emplace(aOrder.task_, Run{ aOrder.run_ }).second) {
     starts_.emplace_back(aOrder.task_, aOrder.run_);
     if (onStart_) {
       onStart_(aOrder.task_);
@@ -172,8 +174,8 @@
   }
   std::erase_if(ended_, [this](const auto& aEnd) { return aEnd.number_ <= acknowledged_; });
   status.status_ = workers::OrderStatus::kAccepted;
-  for (auto& [task, run] : running_) {
-    run.leaseEndMs_ = std::max(run.leaseEndMs_, aOrder.leaseEndMs_.value_or(0));
+  leaseEndMs_ = std::max(leaseEndMs_, aOrder.leaseEndMs_.value_or(0));
+  for (const auto& [task, run] : running_) {
     const auto measurement = measurements_.find(task);
     status.running_.push_back(
       { task, run.run_, {}, 100, measurement == measurements_.end() ? 0 : measurement->second });
@@ -202,6 +204,7 @@
   clockStartedAt_ = std::chrono::steady_clock::now();
   downUntil_ = clockStartedAt_ + kRestartTime;
   fence_ = 0;
+  leaseEndMs_ = 0;
   running_.clear();
   ended_.clear();
   nextEnd_ = 1;
@@ -214,15 +217,8 @@
 void
 FakeWorker::Expire()
 {
-  const std::int64_t clock = ClockMs();
-  std::vector<jobs::TaskId> lapsed;
-  for (const auto& [task, run] : running_) {
-    if (run.leaseEndMs_ < clock) {
-      lapsed.push_back(task);
-    }
-  }
-  for (const jobs::TaskId& task : lapsed) {
-    End(task, jobs::EndKind::kLapsed);
+  while (leaseEndMs_ < ClockMs() && !running_.empty()) {
+    End(jobs::TaskId(running_.begin()->first), jobs::EndKind::kLapsed);
   }
 }
 
--- a/tests/unit/FakeWorkers.h
+++ b/tests/unit/FakeWorkers.h
@@ -24,7 +24,6 @@
   struct Run
   {
     std::int64_t run_ = 0;
-    std::int64_t leaseEndMs_ = 0;
   };
 
   explicit FakeWorker(std::string aId)
@@ -42,7 +41,7 @@
   void Reboot();
   bool IsReachable() const;
   void RunLate();
-  /** Ends every run whose lease has lapsed. */
+  /** Ends every run if the lease has lapsed. */
   void Expire();
 
   /** Milliseconds since the incarnation started, plus 1, so that the clock is never 0. */
@@ -50,11 +49,15 @@
 
   std::string id_;
   bool reachable_ = true;
+  bool answersPolls_ = true;
+  int unansweredPolls_ = 0;
+  std::chrono::milliseconds pollTimeout_{ 60 }; ///< Time after which an unanswered poll fails.
   std::int64_t startedMs_ = 1;
   std::chrono::steady_clock::time_point clockStartedAt_ =
     std::chrono::steady_clock::now() - std::chrono::hours(1);
   std::chrono::steady_clock::time_point downUntil_{};
   std::int64_t fence_ = 0;
+  std::int64_t leaseEndMs_ = 0; ///< Of all runs, on the worker's clock; it is never shortened.
   std::map<jobs::TaskId, Run> running_;
   std::vector<workers::EndedTask> ended_;
   std::int64_t nextEnd_ = 1;
