A wave's host counts as maintained only once its order was accepted

Cause: UpdateWave took any sight of a host as not up, or with a new worker, as the effect of the order, also while the order had no answer. A rack that loses power between the order and the next list looks the same. Ruled out by the log of the case: late execution, and records of an earlier owner (ordered=0; four orders with status=no-answer, then wave-completed).

Change: only an accepted order counts. One without an answer is repeated once the maintenance time and 1.5 s have passed; the platform accepts it at once if it was carried out. A list that was requested before the acceptance shows nothing of its effect.

The test Wave_EveryListedHostIsUpAgain_IsCompleted expected the fault: its order had not been accepted. It now says that it was; the case that it had before is expected to be ordered again, by a test of its own.

--- a/include/quetzal/fleet/Planner.h
+++ b/include/quetzal/fleet/Planner.h
@@ -45,9 +45,10 @@
 {
   MaintenancePhase phase_ = MaintenancePhase::kPending;
   std::string previousWorker_; ///< The host's worker before the order.
-  bool seenDown_ = false; ///< The host was listed as not up, or with a new worker, since the order.
+  /** The host was listed as not up, or with a new worker, since the order was accepted. */
+  bool seenDown_ = false;
   clock::Moment orderedAt_{};
-  bool accepted_ = false; ///< The platform has accepted the order.
+  std::optional<clock::Moment> acceptedAt_; ///< When the platform accepted the order.
 };
 
 /** A wave and the progress of each of its hosts. */
@@ -142,11 +143,14 @@
 FleetPlan
 MakePlan(const FleetView& aView, const PlannerOptions& aOptions, clock::Moment aNow);
 
-/** Updates a wave's progress from the host list. */
+/** Updates a wave's progress from the host list. Only an accepted order proves that a host's
+ * maintenance has begun: a host may also go down, or be maintained for another wave, while the
+ * order has no answer. Such an order is repeated, which the platform accepts if it was carried out.
+ * @param aListedAt when the list was requested. */
 void
 UpdateWave(WaveProgress& aWave,
            const std::vector<Host>& aHosts,
            clock::Milliseconds aMaintenanceTime,
-           clock::Moment aNow);
+           clock::Moment aListedAt);
 
 } // namespace quetzal::fleet
--- a/src/fleet/Planner.cpp
+++ b/src/fleet/Planner.cpp
@@ -11,7 +11,7 @@
 namespace quetzal::fleet {
 namespace {
 
-/** A maintenance order without a visible effect is repeated when the maintenance time and this
+/** A maintenance order without an answer is repeated when the maintenance time and this
  * margin have passed. */
 constexpr clock::Milliseconds kMaintenanceTimeoutMargin{ 1'500 };
 /** A need for less than this fraction of a further host is ignored. */
@@ -349,6 +349,30 @@
   }
 }
 
+/** Updates the state of a host for which an order was given. See UpdateWave. */
+void
+UpdateOrdered(MaintenanceState& aState,
+              const Host& aHost,
+              clock::Milliseconds aMaintenanceTime,
+              clock::Moment aListedAt)
+{
+  const bool isUp = aHost.state_ == HostState::kUp;
+  const bool overdue = aListedAt - aState.orderedAt_ > aMaintenanceTime + kMaintenanceTimeoutMargin;
+  if (!aState.acceptedAt_) {
+    if (isUp && overdue) {
+      aState = {};
+    }
+    return;
+  }
+  if (aListedAt <= *aState.acceptedAt_) {
+    return;
+  }
+  aState.seenDown_ = aState.seenDown_ || !isUp || aHost.worker_ != aState.previousWorker_;
+  if (isUp && (aState.seenDown_ || overdue)) {
+    aState.phase_ = MaintenancePhase::kDone;
+  }
+}
+
 } // namespace
 
 HostSize
@@ -442,7 +466,7 @@
 UpdateWave(WaveProgress& aWave,
            const std::vector<Host>& aHosts,
            clock::Milliseconds aMaintenanceTime,
-           clock::Moment aNow)
+           clock::Moment aListedAt)
 {
   if (aWave.completed_) {
     return;
@@ -458,17 +482,8 @@
       allDone = false;
       continue;
     }
-    const bool isUp = host->state_ == HostState::kUp;
-    state.seenDown_ = state.seenDown_ || !isUp || host->worker_ != state.previousWorker_;
-    const bool overdue = aNow - state.orderedAt_ > aMaintenanceTime + kMaintenanceTimeoutMargin;
-    if (isUp && (state.seenDown_ || (overdue && state.accepted_))) {
-      state.phase_ = MaintenancePhase::kDone;
-    } else if (isUp && overdue) {
-      state = {}; // The order had no visible effect and is repeated, which is harmless.
-      allDone = false;
-    } else {
-      allDone = false;
-    }
+    UpdateOrdered(state, *host, aMaintenanceTime, aListedAt);
+    allDone = allDone && state.phase_ == MaintenancePhase::kDone;
   }
   aWave.completed_ = allDone;
 }
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -230,7 +230,7 @@
   SyncWaves();
   for (auto& [number, wave] : waves_) {
     const bool before = wave.completed_;
-    fleet::UpdateWave(wave, hosts_, options_.maintenanceTime_, listReceivedAt_);
+    fleet::UpdateWave(wave, hosts_, options_.maintenanceTime_, listRequestedAt_);
     if (wave.completed_ && !before) {
       log::Info("fleet", "event=wave-completed wave=", number, " hosts=", wave.hosts_.size());
       PublishWaveStatus(number, true);
@@ -280,7 +280,7 @@
     fleet::MaintenanceState& state = wave.hosts_[host];
     state.phase_ = fleet::MaintenancePhase::kOrdered;
     state.orderedAt_ = Now();
-    state.accepted_ = true;
+    state.acceptedAt_ = Now();
   }
   log::Info("fleet",
             "event=wave-begun wave=",
@@ -461,11 +461,11 @@
       using fleet::HostOrderStatus;
       switch (aStatus) {
         case HostOrderStatus::kAccepted:
-          ordered.accepted_ = true;
+          ordered.acceptedAt_ = Now();
           self->StoreWave(self->waves_.at(aOrder.wave_));
           return;
         case HostOrderStatus::kNoAnswer:
-          break; // The host list shows whether the order was executed.
+          break; // The order is repeated: the host list does not prove that it was carried out.
         case HostOrderStatus::kInvalid:
         case HostOrderStatus::kNotOfWave:
           ordered.phase_ = fleet::MaintenancePhase::kDone;
@@ -489,7 +489,7 @@
 {
   std::vector<std::string> ordered;
   for (const auto& [name, state] : aWave.hosts_) {
-    if (state.phase_ == fleet::MaintenancePhase::kDone || state.accepted_) {
+    if (state.phase_ == fleet::MaintenancePhase::kDone || state.acceptedAt_) {
       ordered.push_back(name);
     }
   }
--- a/tests/unit/PlannerTest.cpp
+++ b/tests/unit/PlannerTest.cpp
@@ -259,10 +259,62 @@
   state.phase_ = MaintenancePhase::kOrdered;
   state.previousWorker_ = "earlier";
   state.orderedAt_ = now_;
+  state.acceptedAt_ = now_;
   UpdateWave(view_.waves_[0], view_.hosts_, 2s, now_ + 1s);
   BOOST_TEST(view_.waves_[0].completed_);
 }
 
+// MIXED: a power loss before the order's answer was taken for the maintenance.
+BOOST_AUTO_TEST_CASE(Wave_HostCrashesAndItsOrderHasNoAnswer_IsOrderedAgain)
+{
+  AddHost("1", "s");
+  AddWave({ "1" }, 1);
+  MaintenanceState& state = view_.waves_[0].hosts_["1"];
+  state.phase_ = MaintenancePhase::kOrdered;
+  state.previousWorker_ = "w-1";
+  state.orderedAt_ = now_;
+  view_.hosts_[0].state_ = HostState::kDown;
+  UpdateWave(view_.waves_[0], view_.hosts_, 2s, now_ + 1s);
+  view_.hosts_[0].state_ = HostState::kUp;
+  view_.hosts_[0].worker_ = "w-1-restarted";
+  UpdateWave(view_.waves_[0], view_.hosts_, 2s, now_ + 2s);
+  BOOST_TEST(!view_.waves_[0].completed_);
+  UpdateWave(view_.waves_[0], view_.hosts_, 2s, now_ + 4s);
+  BOOST_TEST(!view_.waves_[0].completed_);
+  BOOST_CHECK(view_.waves_[0].hosts_["1"].phase_ == MaintenancePhase::kPending);
+}
+
+// MIXED: maintenance for an earlier wave was taken for that of a wave whose order has no answer.
+BOOST_AUTO_TEST_CASE(Wave_HostIsMaintainedAndItsOrderHasNoAnswer_IsOrderedAgain)
+{
+  AddHost("1", "s");
+  AddWave({ "1" }, 1);
+  MaintenanceState& state = view_.waves_[0].hosts_["1"];
+  state.phase_ = MaintenancePhase::kOrdered;
+  state.previousWorker_ = "w-1";
+  state.orderedAt_ = now_;
+  view_.hosts_[0].state_ = HostState::kMaintenance;
+  UpdateWave(view_.waves_[0], view_.hosts_, 2s, now_ + 1s);
+  view_.hosts_[0].state_ = HostState::kUp;
+  UpdateWave(view_.waves_[0], view_.hosts_, 2s, now_ + 4s);
+  BOOST_TEST(!view_.waves_[0].completed_);
+  BOOST_CHECK(view_.waves_[0].hosts_["1"].phase_ == MaintenancePhase::kPending);
+}
+
+// LIMIT: a host counted as maintained while the list was older than the order.
+BOOST_AUTO_TEST_CASE(Wave_ListWasRequestedBeforeTheOrderWasAccepted_HostIsStillDown)
+{
+  AddHost("1", "s");
+  AddWave({ "1" }, 1);
+  MaintenanceState& state = view_.waves_[0].hosts_["1"];
+  state.phase_ = MaintenancePhase::kOrdered;
+  state.previousWorker_ = "before-a-crash";
+  state.orderedAt_ = now_;
+  state.acceptedAt_ = now_ + 200ms;
+  UpdateWave(view_.waves_[0], view_.hosts_, 2s, now_ + 100ms);
+  BOOST_CHECK(view_.waves_[0].hosts_["1"].phase_ == MaintenancePhase::kOrdered);
+}
+
 // Overlapping waves cordoned all hosts of a small pool, and its long running tasks stood still.
 BOOST_AUTO_TEST_CASE(Waves_OverlapInAPoolWithWaitingTasks_LeaveHostsForTheTasks)
 {
