A job keeps the terms of its queue at acceptance

Cause: Cell::MaxAttempts looked the queue up in the configuration in force and returned 0 if it was not there; ApplyEnd takes 0 for "no limit". Ruled out: ends that are counted under different runs (run numbers rise, each end is read once). Tickets, priority and objective were looked up in the same way.

Change: jobs::QueueTerms are kept with the job, in its record and in the submission between entry hosts, so that an owner that has not read the queue yet does not take it for one without a limit. Attempts are those of the acceptance; the rest follows the queue while it is configured. Records of earlier versions have no terms: those in force are taken, or three attempts if the queue is gone.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -108,10 +108,7 @@
   const std::string& Service() const { return service_; }
   std::int64_t Fence() const { return fence_; }
 
-  void Submit(const std::string& aQueue,
-              const std::string& aId,
-              const jobs::JobSpec& aSpec,
-              AnswerCallback aDone);
+  void Submit(const jobs::Submission& aSubmission, AnswerCallback aDone);
   void Show(const std::string& aId, const AnswerCallback& aDone) const;
   void Cancel(const std::string& aId, AnswerCallback aDone);
   std::int64_t PendingOf(const std::string& aQueue) const;
@@ -165,6 +162,8 @@
 
   void RestoreState(const PredecessorState& aState);
   void RestoreJob(const store::KeyValue& aItem);
+  jobs::QueueTerms TermsAtAcceptance(const std::string& aQueue,
+                                     const std::optional<jobs::QueueTerms>& aKnown) const;
   void SyncWorkers();
   void AddWorker(const workers::Registration& aRegistration);
   void RemoveWorker(const std::string& aId);
@@ -253,7 +252,6 @@
   void StopTasks(const jobs::Job& aJob);
   void OnPeriodicTimer();
   void RemoveExpired();
-  int MaxAttempts(const jobs::Job& aJob) const;
   bool IsAvailable(const jobs::TaskState& aState, const jobs::TaskId& aTask) const;
   bool MayEvict(const jobs::Job& aJob, const jobs::TaskId& aTask) const;
   bool HasRoomFor(const jobs::StepSpec& aStep) const;
--- a/include/quetzal/jobs/Configuration.h
+++ b/include/quetzal/jobs/Configuration.h
@@ -19,6 +19,19 @@
   auto operator<=>(const PlacementAdvicePolicy&) const = default;
 };
 
+/** How a queue's jobs are run. A job keeps the terms of its acceptance, since its queue may be
+ * changed or removed later. */
+struct QueueTerms
+{
+  int priority_ = 0;    ///< 0 is the highest.
+  int maxAttempts_ = 0; ///< Failed runs of a task after which its job has failed; 0: no limit.
+  double stretch_ = 1;  ///< Objective as a multiple of the job's critical path.
+  std::int64_t objectiveMs_ = 0; ///< Time added to the stretched critical path.
+  std::optional<PlacementAdvicePolicy> advice_;
+
+  auto operator<=>(const QueueTerms&) const = default;
+};
+
 /** A queue of jobs, and the pool that runs them. */
 struct Queue
 {
@@ -26,11 +39,7 @@
   std::string host_;   ///< Value of the Host header in callers' requests.
   std::string prefix_; ///< Path of callers' requests, up to the job's id.
   std::string service_;
-  int priority_ = 0;    ///< 0 is the highest.
-  int maxAttempts_ = 0; ///< Failed runs of a task after which its job has failed; 0: no limit.
-  double stretch_ = 1;  ///< Objective as a multiple of the job's critical path.
-  std::int64_t objectiveMs_ = 0; ///< Time added to the stretched critical path.
-  std::optional<PlacementAdvicePolicy> advice_;
+  QueueTerms terms_;
 
   auto operator<=>(const Queue&) const = default;
 };
@@ -63,6 +72,11 @@
 const Queue*
 FindQueueByName(const Configuration& aConfiguration, const std::string& aName);
 
+/** Returns the terms of a queue for a job that was accepted by a version of this program that kept
+ * no terms. If the queue has been removed since, the number of attempts is limited nevertheless. */
+QueueTerms
+TermsWithoutRecord(const Configuration& aConfiguration, const std::string& aQueue);
+
 /** Returns the name of the standby pool; empty if there is none. */
 std::string
 StandbyPoolOf(const Configuration& aConfiguration);
--- a/include/quetzal/jobs/Job.h
+++ b/include/quetzal/jobs/Job.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "include/quetzal/jobs/Configuration.h"
+
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -50,6 +52,15 @@
   auto operator<=>(const JobSpec&) const = default;
 };
 
+/** A job that a caller submits to a queue. */
+struct Submission
+{
+  std::string queue_; ///< The queue's name.
+  std::string id_;
+  JobSpec spec_;
+  std::optional<QueueTerms> terms_; ///< Of the queue at acceptance; unset if not known.
+};
+
 enum class JobState : std::uint8_t
 {
   kQueued,
--- a/include/quetzal/jobs/JobTable.h
+++ b/include/quetzal/jobs/JobTable.h
@@ -58,6 +58,7 @@
   std::string id_;
   std::string queue_;
   JobSpec spec_;
+  QueueTerms terms_; ///< Of the queue when the job was accepted.
   JobState state_ = JobState::kQueued;
   std::int64_t acceptedMs_ = 0; ///< Unix milliseconds.
   clock::Moment arrivedAt_{};
@@ -163,8 +164,13 @@
 RemainingWork
 RemainingWorkOf(const Job& aJob);
 
+/** Returns the terms that hold for a job now, its limit of attempts aside: those of its queue, or
+ * of its acceptance if the queue has been removed. */
+const QueueTerms&
+TermsInForce(const Job& aJob, const Configuration& aConfiguration);
+
 /** Returns the time by which the job must complete to meet its queue's objective. */
 clock::Moment
-ObjectiveOf(const Job& aJob, const Queue* aQueue);
+ObjectiveOf(const Job& aJob, const QueueTerms& aTerms);
 
 } // namespace quetzal::jobs
--- a/include/quetzal/jobs/Records.h
+++ b/include/quetzal/jobs/Records.h
@@ -52,6 +52,28 @@
   }
 };
 
+/** A queue's terms as stored; see QueueTerms for the meaning of each field. */
+struct TermsRecord
+{
+  int priority_ = 0;
+  int maxAttempts_ = 0;
+  double stretch_ = 1;
+  std::int64_t objectiveMs_ = 0;
+  bool hasAdvice_ = false;
+  std::int64_t decisionMs_ = 0;
+  std::int64_t perWorkerMs_ = 0;
+  std::int64_t validityMs_ = 0;
+
+  MSGPACK_DEFINE_ARRAY(priority_,
+                       maxAttempts_,
+                       stretch_,
+                       objectiveMs_,
+                       hasAdvice_,
+                       decisionMs_,
+                       perWorkerMs_,
+                       validityMs_)
+};
+
 /** An accepted job, or the final state of one that has ended. Stored under the job's id. */
 struct JobRecord
 {
@@ -64,6 +86,7 @@
   int repetitions_ = 0;
   std::int64_t firstMs_ = 0;
   std::int64_t intervalMs_ = 0;
+  std::optional<TermsRecord> terms_; ///< Earlier versions of this program stored none.
 
   MSGPACK_DEFINE_ARRAY(cell_,
                        queue_,
@@ -73,7 +96,8 @@
                        steps_,
                        repetitions_,
                        firstMs_,
-                       intervalMs_)
+                       intervalMs_,
+                       terms_)
 };
 
 /** Failed runs or the checkpoint of one task. */
@@ -189,10 +213,7 @@
 
 /** Returns the record of an accepted job. */
 JobRecord
-MakeJobRecord(const std::string& aCell,
-              const std::string& aQueue,
-              const JobSpec& aSpec,
-              std::int64_t aAcceptedMs);
+MakeJobRecord(const std::string& aCell, const Submission& aJob, std::int64_t aAcceptedMs);
 
 /** Returns the record of a job that has ended. */
 JobRecord
@@ -205,12 +226,16 @@
 JobSpec
 SpecOf(const JobRecord& aRecord);
 
+/** Returns the terms of the job in a record; std::nullopt if it has none. */
+std::optional<QueueTerms>
+TermsOf(const JobRecord& aRecord);
+
 /** Returns the state of a stored or received record; std::nullopt if there is no such state. */
 std::optional<JobState>
 ReadJobState(int aState);
 
-/** Returns whether a record can be used: its state exists, and the job can be run if it has not
- * ended. @param aWhy set to the reason if the record is invalid. */
+/** Returns whether a record can be used: its state exists, and the job can be run under its terms
+ * if it has not ended. @param aWhy set to the reason if the record is invalid. */
 bool
 IsValid(const JobRecord& aRecord, std::string& aWhy);
 
--- a/include/quetzal/node/JobRequestHandler.h
+++ b/include/quetzal/node/JobRequestHandler.h
@@ -21,8 +21,11 @@
   RequestKind kind_ = RequestKind::kGetState;
   std::string cell_;
   std::string queue_;
-  std::string id_;                       ///< Empty for kCountPending.
-  jobs::JobSpec spec_;                   ///< Set for kSubmit.
+  std::string id_;     ///< Empty for kCountPending.
+  jobs::JobSpec spec_; ///< Set for kSubmit.
+  /** Set for kSubmit: of the queue on the host that the caller reached. An earlier version of that
+   * host's process sets none. */
+  std::optional<jobs::QueueTerms> terms_;
   clock::Milliseconds timeout_{ 3'000 }; ///< How long the caller waits for an answer.
   bool outcomeUnknown_ = false; ///< An owner may have stored the change without confirming it.
   /** The incarnation of the last owner that may still carry out an earlier attempt; empty: none. */
--- a/include/quetzal/placement/JobOrder.h
+++ b/include/quetzal/placement/JobOrder.h
@@ -20,11 +20,13 @@
 
 /** Returns a job's rank. This order answers a load of more jobs than workers have room for: work on
  * a job that will be late anyway would make others late too.
- * @param aQueue the job's queue; null if there is none.
  * @param aPathFactor time that a job takes from its first task to its end, as a multiple of its
  * critical path. */
 JobRank
-RankOf(const jobs::Job& aJob, const jobs::Queue* aQueue, double aPathFactor, clock::Moment aNow);
+RankOf(const jobs::Job& aJob,
+       const jobs::QueueTerms& aTerms,
+       double aPathFactor,
+       clock::Moment aNow);
 
 /** Learns from a job that has just completed how long jobs take.
  * @return the path factor that follows on @p aPathFactor. */
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -136,6 +136,7 @@
     return;
   }
   jobs::Job job = jobs::MakeJob(id, record.queue_, jobs::SpecOf(record));
+  job.terms_ = TermsAtAcceptance(record.queue_, jobs::TermsOf(record));
   job.state_ = state;
   job.stored_ = true;
   job.fromPredecessor_ = true;
@@ -312,68 +313,76 @@
   }
 }
 
+jobs::QueueTerms
+Cell::TermsAtAcceptance(const std::string& aQueue,
+                        const std::optional<jobs::QueueTerms>& aKnown) const
+{
+  return aKnown ? *aKnown
+                : jobs::TermsWithoutRecord(context_.platformState_->Configuration(), aQueue);
+}
+
 // --- Callers --------------------------------------------------------------------------------
 
 void
-Cell::Submit(const std::string& aQueue,
-             const std::string& aId,
-             const jobs::JobSpec& aSpec,
-             AnswerCallback aDone)
+Cell::Submit(const jobs::Submission& aSubmission, AnswerCallback aDone)
 {
-  const jobs::Job* known = jobs_.Find(aId);
-  if (jobs_.FindEnded(aId) != nullptr || (known != nullptr && known->stored_)) {
+  const std::string& id = aSubmission.id_;
+  const jobs::Job* known = jobs_.Find(id);
+  if (jobs_.FindEnded(id) != nullptr || (known != nullptr && known->stored_)) {
     aDone({ AnswerStatus::kAccepted });
     return;
   }
   if (known != nullptr) {
-    submitting_[aId].push_back(std::move(aDone));
+    submitting_[id].push_back(std::move(aDone));
     return;
   }
   if (handingOver_ || writer_.IsStalled(Now())) {
     aDone({ AnswerStatus::kRefused, {}, 0, kRetryAfter });
     return;
   }
-  jobs::Job job = jobs::MakeJob(aId, aQueue, aSpec);
+  jobs::Job job = jobs::MakeJob(id, aSubmission.queue_, aSubmission.spec_);
+  job.terms_ = TermsAtAcceptance(aSubmission.queue_, aSubmission.terms_);
   job.arrivedAt_ = Now();
   job.acceptedMs_ = UnixMs();
-  const std::string record =
-    jobs::Encode(jobs::MakeJobRecord(service_, aQueue, aSpec, job.acceptedMs_));
+  jobs::Submission accepted = aSubmission;
+  accepted.terms_ = job.terms_;
+  const std::string record = jobs::Encode(jobs::MakeJobRecord(service_, accepted, job.acceptedMs_));
   jobs_.Add(std::move(job));
-  submitting_[aId].push_back(std::move(aDone));
+  submitting_[id].push_back(std::move(aDone));
   CellWrite write;
-  write.mustBeAbsent_ = JobKey(aId);
+  write.mustBeAbsent_ = JobKey(id);
   write.mayBeRefused_ = true;
-  write.puts_.push_back({ JobKey(aId), record, 0 });
-  write.done_ = [this, aId](const WriteResult& aResult) {
-    const auto waiters = submitting_.extract(aId);
-    jobs::Job* submitted = jobs_.Find(aId);
+  write.puts_.push_back({ JobKey(id), record, 0 });
+  write.done_ = [this, id](const WriteResult& aResult) {
+    const auto waiters = submitting_.extract(id);
+    jobs::Job* submitted = jobs_.Find(id);
     Answer answer{ AnswerStatus::kUnknownOutcome };
     if (aResult.outcome_ == WriteOutcome::kStored && submitted != nullptr) {
-      jobs::Job& accepted = *submitted;
-      accepted.stored_ = true;
-      jobs::OpenDueOccurrences(accepted, UnixMs());
-      jobs_.Update(accepted);
-      if (!accepted.longRunning_ && accepted.spec_.repetitions_ == 0) {
-        arrivals_.push_back({ Now(), accepted.estimatedCoreSeconds_ });
+      jobs::Job& stored = *submitted;
+      stored.stored_ = true;
+      jobs::OpenDueOccurrences(stored, UnixMs());
+      jobs_.Update(stored);
+      if (!stored.longRunning_ && stored.spec_.repetitions_ == 0) {
+        arrivals_.push_back({ Now(), stored.estimatedCoreSeconds_ });
       }
       log::Info("cell",
                 "event=job-accepted cell=",
                 service_,
                 " job=",
-                aId,
+                id,
                 " queue=",
-                accepted.queue_,
+                stored.queue_,
                 " work=",
-                accepted.estimatedCoreSeconds_);
+                stored.estimatedCoreSeconds_);
       context_.metrics_->Add("quetzal_jobs_accepted_total", { { "service", service_ } });
       answer.status_ = AnswerStatus::kAccepted;
       SchedulePlacement();
     } else if (aResult.outcome_ == WriteOutcome::kRefused) {
-      jobs_.Remove(aId);
+      jobs_.Remove(id);
       answer = { AnswerStatus::kRefused, {}, 0, kRetryAfter };
     } else if (aResult.outcome_ == WriteOutcome::kConflict) {
       // The same job was submitted earlier, to the cell that its queue belonged to at that time.
-      jobs_.Remove(aId);
+      jobs_.Remove(id);
       answer.status_ = AnswerStatus::kAccepted;
     }
     if (!waiters.empty()) {
@@ -382,7 +391,7 @@
       }
     }
   };
-  writer_.Add(aId, std::move(write), kAcceptDelay);
+  writer_.Add(id, std::move(write), kAcceptDelay);
 }
 
 void
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -33,14 +33,6 @@
 
 } // namespace
 
-int
-Cell::MaxAttempts(const jobs::Job& aJob) const
-{
-  const jobs::Queue* queue =
-    jobs::FindQueueByName(context_.platformState_->Configuration(), aJob.queue_);
-  return queue == nullptr ? 0 : queue->maxAttempts_;
-}
-
 void
 Cell::UpdateFailureScore(WorkerEntry& aEntry, jobs::EndKind aKind)
 {
@@ -122,7 +114,7 @@
     StopOtherRuns(aTask, aRun, *task);
   }
   const jobs::EndEffect effect =
-    jobs::ApplyEnd(job, aTask, aRun, aKind, aCheckpoint, MaxAttempts(job));
+    jobs::ApplyEnd(job, aTask, aRun, aKind, aCheckpoint, job.terms_.maxAttempts_);
   jobs_.Update(job);
   if (effect.jobCompleted_) {
     pathFactor_ = placement::NextPathFactor(pathFactor_, job, Now());
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -60,9 +60,9 @@
       continue;
     }
     longest = std::max(longest, job.criticalPath_);
-    const jobs::Queue* queue = jobs::FindQueueByName(configuration, job.queue_);
+    const jobs::QueueTerms& terms = jobs::TermsInForce(job, configuration);
     report.urgentCores_ += fleet::UrgentCores(
-      { rest.coreSeconds_ * estimateBias_, rest.maxCores_, jobs::ObjectiveOf(job, queue) }, now);
+      { rest.coreSeconds_ * estimateBias_, rest.maxCores_, jobs::ObjectiveOf(job, terms) }, now);
   }
   report.unschedulableTasks_ = CountUnschedulable() + unschedulableEvictions_;
   const auto window = std::clamp(longest / 2, kMinWindow, kMaxWindow);
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -92,7 +92,8 @@
     if (added) {
       queue->second = jobs::FindQueueByName(configuration, job->queue_);
     }
-    waiting.push_back({ placement::RankOf(*job, queue->second, pathFactor, aNow), job });
+    const jobs::QueueTerms& terms = queue->second == nullptr ? job->terms_ : queue->second->terms_;
+    waiting.push_back({ placement::RankOf(*job, terms, pathFactor, aNow), job });
   }
   return waiting;
 }
@@ -322,9 +323,7 @@
 bool
 Cell::NeedsTicket(const jobs::Job& aJob) const
 {
-  const jobs::Queue* queue =
-    jobs::FindQueueByName(context_.platformState_->Configuration(), aJob.queue_);
-  return queue != nullptr && queue->advice_.has_value();
+  return jobs::TermsInForce(aJob, context_.platformState_->Configuration()).advice_.has_value();
 }
 
 workers::StartOrder
@@ -399,7 +398,7 @@
   if (aTask.phase_ != jobs::TaskPhase::kPlaced || aTask.copyRun_ != 0) {
     return false;
   }
-  const int maxAttempts = MaxAttempts(aJob);
+  const int maxAttempts = aJob.terms_.maxAttempts_;
   if (maxAttempts > 0 && static_cast<int>(aTask.failedRuns_.size()) + 1 >= maxAttempts) {
     return false; // Both runs could fail, which would exceed the limit on attempts.
   }
--- a/src/jobs/Configuration.cpp
+++ b/src/jobs/Configuration.cpp
@@ -1,6 +1,11 @@
 #include "include/quetzal/jobs/Configuration.h"
 
 namespace quetzal::jobs {
+namespace {
+
+constexpr int kMaxAttemptsOfUnknownQueue = 3;
+
+} // namespace
 
 const Queue*
 FindQueue(const Configuration& aConfiguration, const std::string& aHost, const std::string& aPath)
@@ -28,6 +33,17 @@
   return nullptr;
 }
 
+QueueTerms
+TermsWithoutRecord(const Configuration& aConfiguration, const std::string& aQueue)
+{
+  if (const Queue* queue = FindQueueByName(aConfiguration, aQueue)) {
+    return queue->terms_;
+  }
+  QueueTerms terms;
+  terms.maxAttempts_ = kMaxAttemptsOfUnknownQueue;
+  return terms;
+}
+
 std::string
 StandbyPoolOf(const Configuration& aConfiguration)
 {
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -411,14 +411,19 @@
   return remaining;
 }
 
+const QueueTerms&
+TermsInForce(const Job& aJob, const Configuration& aConfiguration)
+{
+  const Queue* queue = FindQueueByName(aConfiguration, aJob.queue_);
+  return queue == nullptr ? aJob.terms_ : queue->terms_;
+}
+
 clock::Moment
-ObjectiveOf(const Job& aJob, const Queue* aQueue)
+ObjectiveOf(const Job& aJob, const QueueTerms& aTerms)
 {
-  const double stretch = aQueue == nullptr ? 1 : aQueue->stretch_;
-  const auto stretchedPath =
-    std::chrono::duration_cast<clock::Milliseconds>(aJob.criticalPath_ * std::max(stretch, 1.0));
-  return aJob.arrivedAt_ + stretchedPath +
-         clock::Milliseconds(aQueue == nullptr ? 0 : aQueue->objectiveMs_);
+  const auto stretchedPath = std::chrono::duration_cast<clock::Milliseconds>(
+    aJob.criticalPath_ * std::max(aTerms.stretch_, 1.0));
+  return aJob.arrivedAt_ + stretchedPath + clock::Milliseconds(aTerms.objectiveMs_);
 }
 
 } // namespace quetzal::jobs
--- a/src/jobs/Records.cpp
+++ b/src/jobs/Records.cpp
@@ -1,25 +1,46 @@
 #include "include/quetzal/jobs/Records.h"
 
+#include <cmath>
+
 namespace quetzal::jobs {
+namespace {
+
+TermsRecord
+MakeTermsRecord(const QueueTerms& aTerms)
+{
+  const PlacementAdvicePolicy advice = aTerms.advice_.value_or(PlacementAdvicePolicy{});
+  return { aTerms.priority_,    aTerms.maxAttempts_,        aTerms.stretch_,
+           aTerms.objectiveMs_, aTerms.advice_.has_value(), advice.decisionMs_,
+           advice.perWorkerMs_, advice.validityMs_ };
+}
+
+bool
+AreUsable(const QueueTerms& aTerms)
+{
+  return aTerms.maxAttempts_ >= 0 && std::isfinite(aTerms.stretch_) && aTerms.objectiveMs_ >= 0 &&
+         aTerms.objectiveMs_ <= kMaxUnixMs;
+}
+
+} // namespace
 
 JobRecord
-MakeJobRecord(const std::string& aCell,
-              const std::string& aQueue,
-              const JobSpec& aSpec,
-              std::int64_t aAcceptedMs)
+MakeJobRecord(const std::string& aCell, const Submission& aJob, std::int64_t aAcceptedMs)
 {
   JobRecord record;
   record.cell_ = aCell;
-  record.queue_ = aQueue;
+  record.queue_ = aJob.queue_;
   record.state_ = static_cast<int>(JobState::kQueued);
   record.timestampMs_ = aAcceptedMs;
-  record.payload_ = aSpec.payload_;
-  for (const StepSpec& step : aSpec.steps_) {
+  record.payload_ = aJob.spec_.payload_;
+  for (const StepSpec& step : aJob.spec_.steps_) {
     record.steps_.push_back({ step });
   }
-  record.repetitions_ = aSpec.repetitions_;
-  record.firstMs_ = aSpec.firstMs_;
-  record.intervalMs_ = aSpec.intervalMs_;
+  record.repetitions_ = aJob.spec_.repetitions_;
+  record.firstMs_ = aJob.spec_.firstMs_;
+  record.intervalMs_ = aJob.spec_.intervalMs_;
+  if (aJob.terms_) {
+    record.terms_ = MakeTermsRecord(*aJob.terms_);
+  }
   return record;
 }
 
@@ -51,6 +72,25 @@
   return spec;
 }
 
+std::optional<QueueTerms>
+TermsOf(const JobRecord& aRecord)
+{
+  if (!aRecord.terms_) {
+    return std::nullopt;
+  }
+  const TermsRecord& stored = *aRecord.terms_;
+  QueueTerms terms;
+  terms.priority_ = stored.priority_;
+  terms.maxAttempts_ = stored.maxAttempts_;
+  terms.stretch_ = stored.stretch_;
+  terms.objectiveMs_ = stored.objectiveMs_;
+  if (stored.hasAdvice_) {
+    terms.advice_ =
+      PlacementAdvicePolicy{ stored.decisionMs_, stored.perWorkerMs_, stored.validityMs_ };
+  }
+  return terms;
+}
+
 std::optional<JobState>
 ReadJobState(int aState)
 {
@@ -72,6 +112,11 @@
     aWhy = "the timestamp is out of range";
     return false;
   }
+  const auto terms = TermsOf(aRecord);
+  if (terms && !AreUsable(*terms)) {
+    aWhy = "the terms of its queue are out of range";
+    return false;
+  }
   return IsFinal(*state) || IsValid(SpecOf(aRecord), aWhy);
 }
 
--- a/src/node/Messages.cpp
+++ b/src/node/Messages.cpp
@@ -44,15 +44,16 @@
 
 /** Reads the job of a submission. @return whether it can be run. */
 bool
-ReadSpec(const std::string& aJob, jobs::JobSpec& aSpec)
+ReadJob(const std::string& aJob, JobRequest& aRequest)
 {
   jobs::JobRecord record;
   std::string why;
   if (!jobs::Decode(aJob, record)) {
     return false;
   }
-  aSpec = jobs::SpecOf(record);
-  return jobs::IsValid(aSpec, why);
+  aRequest.spec_ = jobs::SpecOf(record);
+  aRequest.terms_ = jobs::TermsOf(record);
+  return jobs::IsValid(aRequest.spec_, why) && jobs::IsValid(record, why);
 }
 
 } // namespace
@@ -67,8 +68,8 @@
   call.id_ = aRequest.id_;
   call.timeoutMs_ = aRequest.timeout_.count();
   if (aRequest.kind_ == RequestKind::kSubmit) {
-    call.job_ =
-      jobs::Encode(jobs::MakeJobRecord(aRequest.cell_, aRequest.queue_, aRequest.spec_, 0));
+    call.job_ = jobs::Encode(jobs::MakeJobRecord(
+      aRequest.cell_, { aRequest.queue_, aRequest.id_, aRequest.spec_, aRequest.terms_ }, 0));
   }
   return call;
 }
@@ -85,7 +86,7 @@
   request.queue_ = aCall.queue_;
   request.id_ = aCall.id_;
   request.timeout_ = clock::Milliseconds(aCall.timeoutMs_);
-  if (request.kind_ == RequestKind::kSubmit && !ReadSpec(aCall.job_, request.spec_)) {
+  if (request.kind_ == RequestKind::kSubmit && !ReadJob(aCall.job_, request)) {
     return std::nullopt;
   }
   return request;
--- a/src/placement/JobOrder.cpp
+++ b/src/placement/JobOrder.cpp
@@ -13,14 +13,17 @@
 } // namespace
 
 JobRank
-RankOf(const jobs::Job& aJob, const jobs::Queue* aQueue, double aPathFactor, clock::Moment aNow)
+RankOf(const jobs::Job& aJob,
+       const jobs::QueueTerms& aTerms,
+       double aPathFactor,
+       clock::Moment aNow)
 {
   const auto remaining =
     std::chrono::duration_cast<clock::Moment::duration>(aJob.remainingPath_ * aPathFactor);
   JobRank rank;
   rank.notLongRunning_ = !aJob.longRunning_;
-  rank.priority_ = aQueue == nullptr ? 0 : aQueue->priority_;
-  rank.late_ = aNow + remaining > jobs::ObjectiveOf(aJob, aQueue);
+  rank.priority_ = aTerms.priority_;
+  rank.late_ = aNow + remaining > jobs::ObjectiveOf(aJob, aTerms);
   rank.notStarted_ = !aJob.started_;
   rank.arrivedAt_ = aJob.arrivedAt_;
   return rank;
--- a/tests/unit/CellAdviceTest.cpp
+++ b/tests/unit/CellAdviceTest.cpp
@@ -11,7 +11,7 @@
 {
   AdviceFixture()
   {
-    platformState_.configuration_.queues_[0].advice_ = jobs::PlacementAdvicePolicy{};
+    platformState_.configuration_.queues_[0].terms_.advice_ = jobs::PlacementAdvicePolicy{};
     for (const char* id : { "w1", "w2", "w3" }) {
       AddWorker(id).wantsTicket_ = true;
     }
@@ -33,6 +33,13 @@
   BOOST_TEST(advice_.requests_.front().second.size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(Tickets_QueueIsRemoved_AreStillRequested)
+{
+  Submit(*cell_, "job1", Spec(2));
+  platformState_.configuration_.queues_.clear();
+  BOOST_TEST(RunUntil([&] { return fleet_.At("w2").running_.size() == 2; }));
+}
+
 BOOST_AUTO_TEST_CASE(Tickets_StillValid_AreUsedForTheNextRun)
 {
   Submit(*cell_, "job1", Spec(1));
--- a/tests/unit/CellClaimTest.cpp
+++ b/tests/unit/CellClaimTest.cpp
@@ -11,7 +11,8 @@
 {
   void StoreJob(const std::string& aId, const std::string& aCell)
   {
-    store_.Put(cells::JobKey(aId), jobs::Encode(jobs::MakeJobRecord(aCell, "q", {}, 7)));
+    store_.Put(cells::JobKey(aId),
+               jobs::Encode(jobs::MakeJobRecord(aCell, { "q", aId, {}, {} }, 7)));
   }
 
   /** Returns the keys of the job records that the new owner of a cell gets. */
--- a/tests/unit/CellCopiesTest.cpp
+++ b/tests/unit/CellCopiesTest.cpp
@@ -79,7 +79,7 @@
 
 BOOST_AUTO_TEST_CASE(Copy_LastAttemptLeft_IsNotStarted)
 {
-  platformState_.configuration_.queues_[0].maxAttempts_ = 1;
+  platformState_.configuration_.queues_[0].terms_.maxAttempts_ = 1;
   Submit(*cell_, "job1", CopySpec(1));
   RunFor(1'200ms);
   BOOST_TEST(one_->starts_.size() + two_->starts_.size() == 1U);
--- a/tests/unit/CellFixture.h
+++ b/tests/unit/CellFixture.h
@@ -26,8 +26,8 @@
     jobs::Queue queue;
     queue.name_ = "q";
     queue.service_ = "svc";
-    queue.maxAttempts_ = 3;
-    queue.objectiveMs_ = 1'000;
+    queue.terms_.maxAttempts_ = 3;
+    queue.terms_.objectiveMs_ = 1'000;
     platformState_.configuration_.version_ = 1;
     platformState_.configuration_.queues_ = { queue };
     platformState_.configuration_.services_ = { { "svc", false, true } };
@@ -115,7 +115,8 @@
   AnswerStatus Submit(Cell& aCell, const std::string& aId, const jobs::JobSpec& aSpec)
   {
     std::optional<AnswerStatus> status;
-    aCell.Submit("q", aId, aSpec, [&status](const Answer& aAnswer) { status = aAnswer.status_; });
+    aCell.Submit({ "q", aId, aSpec, {} },
+                 [&status](const Answer& aAnswer) { status = aAnswer.status_; });
     BOOST_TEST(RunUntil([&status] { return status.has_value(); }));
     return status.value_or(AnswerStatus::kUnknownOutcome);
   }
@@ -130,6 +131,15 @@
     return state;
   }
 
+  /** Lets the first task's run fail each time that it runs. */
+  void FailRepeatedly(FakeWorker& aWorker, int aTimes)
+  {
+    for (int i = 0; i < aTimes; ++i) {
+      BOOST_TEST(WaitForRun(aWorker, first_));
+      aWorker.End(first_, jobs::EndKind::kFailed);
+    }
+  }
+
   bool WaitForRun(FakeWorker& aWorker, const jobs::TaskId& aTask)
   {
     return RunUntil([&] { return aWorker.running_.contains(aTask); });
--- a/tests/unit/CellProtocolTest.cpp
+++ b/tests/unit/CellProtocolTest.cpp
@@ -254,11 +254,12 @@
       return;
     }
     const std::string id = "job" + std::to_string(nextJob_++);
-    owners_.back().cell_->Submit("q", id, Spec(1 + Draw(3)), [this, id](const Answer& aAnswer) {
-      if (aAnswer.status_ == AnswerStatus::kAccepted) {
-        accepted_.insert(id);
-      }
-    });
+    owners_.back().cell_->Submit({ "q", id, Spec(1 + Draw(3)), {} },
+                                 [this, id](const Answer& aAnswer) {
+                                   if (aAnswer.status_ == AnswerStatus::kAccepted) {
+                                     accepted_.insert(id);
+                                   }
+                                 });
   }
 
   void CancelJob()
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -52,7 +52,7 @@
 BOOST_AUTO_TEST_CASE(StoredJob_StateDoesNotExist_IsIgnored)
 {
   for (const int state : { -1, 5, 77 }) {
-    jobs::JobRecord record = jobs::MakeJobRecord("svc", "q", Spec(1), 7);
+    jobs::JobRecord record = jobs::MakeJobRecord("svc", { "q", "job1", Spec(1), {} }, 7);
     record.state_ = state;
     store_.Put(JobKey("job1"), jobs::Encode(record));
     BOOST_TEST(StateOf(*TakeOver("a"), "job1") == "unknown-job");
@@ -62,7 +62,8 @@
 BOOST_AUTO_TEST_CASE(StoredJob_CannotBeRun_IsIgnored)
 {
   const auto ignored = [this](const jobs::JobSpec& aSpec) {
-    store_.Put(JobKey("job1"), jobs::Encode(jobs::MakeJobRecord("svc", "q", aSpec, 7)));
+    store_.Put(JobKey("job1"),
+               jobs::Encode(jobs::MakeJobRecord("svc", { "q", "job1", aSpec, {} }, 7)));
     return StateOf(*TakeOver("a"), "job1") == "unknown-job";
   };
   jobs::JobSpec cyclic = Spec(1);
@@ -75,8 +76,10 @@
 
 BOOST_AUTO_TEST_CASE(StoredJobs_OneCannotBeRun_OthersAreRestored)
 {
-  store_.Put(JobKey("job0"), jobs::Encode(jobs::MakeJobRecord("svc", "q", Spec(-1), 7)));
-  store_.Put(JobKey("job1"), jobs::Encode(jobs::MakeJobRecord("svc", "q", Spec(1), 7)));
+  store_.Put(JobKey("job0"),
+             jobs::Encode(jobs::MakeJobRecord("svc", { "q", "job0", Spec(-1), {} }, 7)));
+  store_.Put(JobKey("job1"),
+             jobs::Encode(jobs::MakeJobRecord("svc", { "q", "job1", Spec(1), {} }, 7)));
   BOOST_TEST(StateOf(*TakeOver("a"), "job1") == "queued");
 }
 
@@ -605,6 +608,46 @@
   BOOST_TEST(StateOf(*cell, "job1") == "cancelled");
 }
 
+// BUDGET: without its queue, a task that failed was started again without end.
+BOOST_AUTO_TEST_CASE(Task_QueueIsRemoved_FailsAfterTheAttemptsOfItsAcceptance)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(1));
+  platformState_.configuration_.queues_.clear();
+  FailRepeatedly(worker, 3);
+  BOOST_TEST(RunUntil([&] { return StateOf(*cell, "job1") == "failed"; }, 2'000));
+  BOOST_TEST(worker.starts_.size() == 3U);
+}
+
+// BUDGET: the attempts that a job was promised were not handed over.
+BOOST_AUTO_TEST_CASE(Takeover_QueueIsRemoved_TaskFailsAfterTheAttemptsOfItsAcceptance)
+{
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(1));
+  FailRepeatedly(worker, 1);
+  BOOST_TEST(RunUntil([&] { return worker.starts_.size() == 2U && worker.ended_.empty(); }));
+  cell->Abandon();
+  platformState_.configuration_.queues_.clear();
+  const auto successor = TakeOver("b");
+  FailRepeatedly(worker, 2);
+  BOOST_TEST(RunUntil([&] { return StateOf(*successor, "job1") == "failed"; }, 2'000));
+  BOOST_TEST(worker.starts_.size() == 3U);
+}
+
+// BUDGET: an owner that has not read the queue's configuration yet took it for one without a limit.
+BOOST_AUTO_TEST_CASE(Job_OwnerDoesNotKnowItsQueue_HasTheTermsOfTheHostThatTookIt)
+{
+  FakeWorker& worker = AddWorker("w1");
+  const jobs::QueueTerms terms = platformState_.configuration_.queues_[0].terms_;
+  platformState_.configuration_.queues_.clear();
+  const auto cell = TakeOver("a");
+  cell->Submit({ "q", "job1", Spec(1), terms }, [](const Answer&) {});
+  FailRepeatedly(worker, 3);
+  BOOST_TEST(RunUntil([&] { return StateOf(*cell, "job1") == "failed"; }, 2'000));
+}
+
 BOOST_AUTO_TEST_CASE(Eviction_SeveralTasksOfOneStep_StopsOneAtATime)
 {
   FakeWorker& worker = AddWorker("w1");
@@ -655,8 +698,8 @@
   BOOST_CHECK(Submit(*cell, "job1", Spec(1)) == AnswerStatus::kRefused);
   BOOST_TEST(StateOf(*cell, "job1") == "unknown-job");
   std::optional<AnswerStatus> status;
-  cell->Submit(
-    "q", "job2", Spec(1), [&status](const Answer& aAnswer) { status = aAnswer.status_; });
+  cell->Submit({ "q", "job2", Spec(1), {} },
+               [&status](const Answer& aAnswer) { status = aAnswer.status_; });
   BOOST_REQUIRE(status.has_value());
   BOOST_CHECK(*status == AnswerStatus::kRefused);
 }
@@ -669,11 +712,11 @@
   for (int i = 0; i < 1'000; ++i) {
     store_.InjectFault(CommitFault::kDelayed);
   }
-  cell->Submit("q", "job1", Spec(1), [](const Answer&) {});
+  cell->Submit({ "q", "job1", Spec(1), {} }, [](const Answer&) {});
   RunFor(1'800ms);
   std::optional<AnswerStatus> status;
-  cell->Submit(
-    "q", "job2", Spec(1), [&status](const Answer& aAnswer) { status = aAnswer.status_; });
+  cell->Submit({ "q", "job2", Spec(1), {} },
+               [&status](const Answer& aAnswer) { status = aAnswer.status_; });
   BOOST_REQUIRE(status.has_value());
   BOOST_CHECK(*status == AnswerStatus::kRefused);
 }
--- a/tests/unit/JobTableTest.cpp
+++ b/tests/unit/JobTableTest.cpp
@@ -209,9 +209,41 @@
   spec.repetitions_ = 3;
   spec.firstMs_ = 5;
   spec.intervalMs_ = 6;
+  QueueTerms terms;
+  terms.priority_ = 2;
+  terms.maxAttempts_ = 4;
+  terms.stretch_ = 1.5;
+  terms.objectiveMs_ = 700;
+  terms.advice_ = PlacementAdvicePolicy{ 1, 2, 3 };
   JobRecord record;
-  BOOST_REQUIRE(Decode(Encode(MakeJobRecord("c", "q", spec, 9)), record));
+  BOOST_REQUIRE(Decode(Encode(MakeJobRecord("c", { "q", "id", spec, terms }, 9)), record));
   BOOST_CHECK(SpecOf(record) == spec);
+  BOOST_CHECK(TermsOf(record) == terms);
+}
+
+BOOST_AUTO_TEST_CASE(JobRecord_OfAnEarlierVersion_HasNoTerms)
+{
+  const auto record =
+    std::make_tuple(std::string("c"), std::string("q"), 0, 9, std::string(), std::vector<int>());
+  JobRecord read;
+  BOOST_REQUIRE(Decode(Encode(record), read));
+  BOOST_CHECK(!TermsOf(read));
+}
+
+BOOST_AUTO_TEST_CASE(JobRecord_TermsOutOfRange_IsInvalid)
+{
+  StepSpec step;
+  step.count_ = 1;
+  JobSpec spec;
+  spec.steps_ = { step };
+  std::string why;
+  QueueTerms terms;
+  BOOST_TEST(IsValid(MakeJobRecord("c", { "q", "id", spec, terms }, 9), why));
+  terms.maxAttempts_ = -1;
+  BOOST_TEST(!IsValid(MakeJobRecord("c", { "q", "id", spec, terms }, 9), why));
+  terms.maxAttempts_ = 1;
+  terms.stretch_ = std::numeric_limits<double>::infinity();
+  BOOST_TEST(!IsValid(MakeJobRecord("c", { "q", "id", spec, terms }, 9), why));
 }
 
 BOOST_AUTO_TEST_CASE(JobSpec_Invalid_IsRefusedWithReason)
--- a/tests/unit/NodeProcessTest.cpp
+++ b/tests/unit/NodeProcessTest.cpp
@@ -364,7 +364,7 @@
     call.cell_ = "svc";
     call.queue_ = "q";
     call.id_ = "job1";
-    call.job_ = jobs::Encode(jobs::MakeJobRecord("svc", "q", spec, 0));
+    call.job_ = jobs::Encode(jobs::MakeJobRecord("svc", { "q", "job1", spec, {} }, 0));
     return call;
   }
 
--- a/tests/unit/OverloadTest.cpp
+++ b/tests/unit/OverloadTest.cpp
@@ -34,8 +34,8 @@
 
   OverloadFixture()
   {
-    queue_.stretch_ = 1;
-    queue_.objectiveMs_ = 900;
+    terms_.stretch_ = 1;
+    terms_.objectiveMs_ = 900;
   }
 
   static JobSpec Spec()
@@ -128,7 +128,7 @@
       Job& job = *aRegistry.Find(run.task_.job_);
       const EndEffect effect = ApplyEnd(job, run.task_, 1, EndKind::kDone, {}, 0);
       if (effect.jobCompleted_) {
-        aOutcome.inTime_ += aNow <= ObjectiveOf(job, &queue_) ? 1 : 0;
+        aOutcome.inTime_ += aNow <= ObjectiveOf(job, terms_) ? 1 : 0;
         aOutcome.pathFactor_ = placement::NextPathFactor(aOutcome.pathFactor_, job, aNow);
         aRegistry.End(job.id_, { JobState::kCompleted, 1 });
       } else {
@@ -137,7 +137,7 @@
     }
   }
 
-  Queue queue_;
+  QueueTerms terms_;
 };
 
 BOOST_FIXTURE_TEST_SUITE(Overload, OverloadFixture)
@@ -151,8 +151,8 @@
     return
       [this, aFactor](const Job& aLeft, const Job& aRight, double aLearned, clock::Moment aNow) {
         const double factor = aFactor > 0 ? aFactor : aLearned;
-        return placement::RankOf(aLeft, &queue_, factor, aNow) <
-               placement::RankOf(aRight, &queue_, factor, aNow);
+        return placement::RankOf(aLeft, terms_, factor, aNow) <
+               placement::RankOf(aRight, terms_, factor, aNow);
       };
   };
   const Outcome estimated = Play(byRank(1));
--- a/tests/unit/PlacementRoundTest.cpp
+++ b/tests/unit/PlacementRoundTest.cpp
@@ -56,7 +56,7 @@
 {
   const auto cell = TakeOver("a");
   for (int i = 0; i < kTasks / 4; ++i) {
-    cell->Submit("q", "job" + std::to_string(i), Spec(4), [](const Answer&) {});
+    cell->Submit({ "q", "job" + std::to_string(i), Spec(4), {} }, [](const Answer&) {});
   }
   BOOST_TEST(RunUntil([&] { return Starts() == kTasks; }));
   BOOST_TEST(mostBetweenEvents_ <= kMostBetweenEvents);
--- a/tests/unit/RecordCellTest.cpp
+++ b/tests/unit/RecordCellTest.cpp
@@ -14,7 +14,7 @@
     jobs::JobSpec spec;
     spec.payload_ = "payload";
     spec.steps_.resize(3);
-    return jobs::Encode(jobs::MakeJobRecord(aCell, "q", spec, 7));
+    return jobs::Encode(jobs::MakeJobRecord(aCell, { "q", "job1", spec, {} }, 7));
   }
 };
 
