Placing rounds go on behind jobs that have no place; long waits are logged

Cause: a round ended after 24 jobs in a row that could not be placed, and the next one began with the same jobs. Ruled out by a test: a job of the same priority is started, so the order itself is complete.

Change: a round notes demands for which no worker had room and passes over jobs that ask for as much; after 24 searches in vain it ends, and the next one goes on with what has not been tried. event=jobs-wait says once a second why jobs have waited for 2 s with nothing running.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -10,6 +10,7 @@
 #include "include/quetzal/node/PlatformState.h"
 #include "include/quetzal/placement/JobOrder.h"
 #include "include/quetzal/placement/Placement.h"
+#include "include/quetzal/placement/UnfitNeeds.h"
 
 #include <QtCore/QObject>
 #include <QtCore/QTimer>
@@ -199,24 +200,35 @@
   void OnStartAnswered(std::int64_t aRun);
   /** Ends a placement round that has no starts left; the rest waits for answers to start orders. */
   void EndRound();
-  std::vector<WaitingJob> WaitingJobs(clock::Moment aNow) const;
+  std::vector<WaitingJob> WaitingJobs(clock::Moment aNow);
   std::vector<placement::Candidate> Candidates(std::vector<WorkerEntry*>& aEntries) const;
-  bool PlaceJob(jobs::Job& aJob,
-                std::vector<placement::Candidate>& aCandidates,
-                const std::vector<WorkerEntry*>& aEntries,
-                clock::Moment aNow);
-  int PlaceStep(jobs::Job& aJob,
-                int aOccurrence,
-                int aStep,
-                std::vector<placement::Candidate>& aCandidates,
-                const std::vector<WorkerEntry*>& aEntries,
-                clock::Moment aNow);
-  bool PlaceGang(jobs::Job& aJob,
-                 int aOccurrence,
-                 int aStep,
-                 std::vector<placement::Candidate>& aCandidates,
-                 const std::vector<WorkerEntry*>& aEntries,
-                 clock::Moment aNow);
+
+  /** One placement round: the workers as they become fuller. */
+  struct Round
+  {
+    clock::Moment now_{};
+    std::vector<placement::Candidate> candidates_;
+    std::vector<WorkerEntry*> entries_; ///< Of each candidate.
+    int failedSearches_ = 0;            ///< Searches of all candidates that found none for a task.
+    int unplacedJobs_ = 0;              ///< In a row.
+  };
+
+  /** What rounds have found since the last one that came to the end of the waiting jobs. */
+  struct Pass
+  {
+    placement::UnfitNeeds unfit_;
+    std::set<std::string> triedJobs_; ///< Jobs with a task for which no worker was found.
+  };
+
+  bool PlaceJob(jobs::Job& aJob, Round& aRound);
+  int PlaceStep(jobs::Job& aJob, int aOccurrence, int aStep, Round& aRound);
+  bool PlaceGang(jobs::Job& aJob, int aOccurrence, int aStep, Round& aRound);
+  /** Notes that no worker was found for a task of a step. @param aIsGeneral whether the step's
+   * demand alone was the reason, so that a task of any job with that demand has no place. */
+  void NoteFailedSearch(jobs::Job& aJob,
+                        const jobs::StepSpec& aStep,
+                        bool aIsGeneral,
+                        Round& aRound);
   void StartTask(jobs::Job& aJob,
                  const jobs::TaskId& aTask,
                  std::int64_t aRun,
@@ -224,15 +236,8 @@
   bool NeedsTicket(const jobs::Job& aJob) const;
   void RequestTickets(const std::string& aStep);
   std::string TicketFor(const jobs::TaskId& aTask, const std::string& aWorker) const;
-  void PlaceCopies(std::vector<placement::Candidate>& aCandidates,
-                   const std::vector<WorkerEntry*>& aEntries,
-                   clock::Moment aNow);
-  void CopyStragglers(jobs::Job& aJob,
-                      int aOccurrence,
-                      int aStep,
-                      std::vector<placement::Candidate>& aCandidates,
-                      const std::vector<WorkerEntry*>& aEntries,
-                      clock::Moment aNow);
+  void PlaceCopies(Round& aRound);
+  void CopyStragglers(jobs::Job& aJob, int aOccurrence, int aStep, Round& aRound);
   bool MayCopy(const jobs::Job& aJob,
                const jobs::StepState& aStep,
                const jobs::StepSpec& aSpec,
@@ -251,6 +256,9 @@
   void FinishJob(jobs::Job& aJob, jobs::JobState aState, std::function<void()> aDone);
   void StopTasks(const jobs::Job& aJob);
   void OnPeriodicTimer();
+  /** Logs why jobs have waited for long with nothing running, at most once a second. */
+  void LogWaiting();
+  std::string WorkerSummary() const;
   void RemoveExpired();
   bool IsAvailable(const jobs::TaskState& aState, const jobs::TaskId& aTask) const;
   bool MayEvict(const jobs::Job& aJob, const jobs::TaskId& aTask) const;
@@ -272,6 +280,8 @@
   std::map<std::string, std::vector<std::function<void()>>> endWaiters_;
   PlacementTickets tickets_;
   StartWindow startWindow_;
+  Pass pass_;
+  clock::Moment waitingLoggedAt_{};
   int startsLeft_ = 0;           ///< Starts that the current placement round may still make.
   bool waitsForAnswers_ = false; ///< The last round left tasks for which there were no starts left.
   std::set<std::string> cordoned_;
--- a/include/quetzal/jobs/JobTable.h
+++ b/include/quetzal/jobs/JobTable.h
@@ -52,6 +52,21 @@
   std::vector<StepState> steps_;
 };
 
+/** Why the last placement round that saw a job started none of its waiting tasks. */
+enum class WaitReason : std::uint8_t
+{
+  kNone,
+  kNotTried,    ///< The round ended before it.
+  kPredecessor, ///< Not all workers have told which tasks an earlier owner started.
+  kNotDue,      ///< A repetition, another try, or the other tasks of a gang are not due.
+  kNoTicket,    ///< Waits for the placement advice service.
+  kNoRoom,
+};
+
+/** Returns the reason's name in logs, such as "no-room". */
+const char*
+ToString(WaitReason aReason);
+
 /** An accepted job, as held by the owner of its cell. */
 struct Job
 {
@@ -67,6 +82,7 @@
   int nextOccurrence_ = 0;       ///< The first repetition that is not yet due.
   bool started_ = false;         ///< A task has been placed or has made progress.
   clock::Moment startedAt_{};    ///< When this owner placed the first task.
+  clock::Moment lastChangeAt_{}; ///< When this owner last placed a task or learnt of an end.
   bool fromPredecessor_ = false; ///< Accepted by an earlier owner, which may have placed tasks.
   bool longRunning_ = false;
   bool stored_ = false;      ///< The store holds the job.
@@ -74,6 +90,7 @@
   bool hasProgress_ = false; ///< The store holds, or may hold, a progress record.
   int waitingTasks_ = 0;     ///< Waiting tasks of steps whose dependencies are done.
   int placedTasks_ = 0;
+  WaitReason waitReason_ = WaitReason::kNone;
   double estimatedCoreSeconds_ = 0; ///< Estimated core-seconds of one repetition.
   clock::Milliseconds criticalPath_{ 0 };
   clock::Milliseconds remainingPath_{ 0 }; ///< Critical path of the steps that are not done.
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -106,6 +106,7 @@
     return;
   }
   jobs::Job& job = *found;
+  job.lastChangeAt_ = Now();
   if (const jobs::TaskState* task = jobs::FindTask(job, aTask);
       task != nullptr && aKind == jobs::EndKind::kDone) {
     if (task->run_ == aRun) {
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -275,6 +275,7 @@
       jobs_.Update(job);
     }
   }
+  LogWaiting();
   SchedulePlacement();
 }
 
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -15,7 +15,10 @@
 using clock::Now;
 
 constexpr clock::Milliseconds kPlacementDelay{ 8 };
-/** A placement round ends after more than this many jobs in a row that could not be placed. */
+/** A placement round ends after this many searches of all workers that found none. The next one
+ * goes on with the jobs that have not been tried. */
+constexpr int kMaxFailedSearches = 24;
+/** No copies are started after more than this many jobs in a row that could not be placed. */
 constexpr int kMaxUnplacedJobs = 24;
 /** Starts of one placement round, after which the event loop serves callers and polls. */
 constexpr int kMaxStartsPerRound = 128;
@@ -76,7 +79,7 @@
 }
 
 std::vector<Cell::WaitingJob>
-Cell::WaitingJobs(clock::Moment aNow) const
+Cell::WaitingJobs(clock::Moment aNow)
 {
   std::vector<WaitingJob> waiting;
   waiting.reserve(jobs_.Waiting().size());
@@ -86,8 +89,13 @@
   const double pathFactor = std::max(estimateBias_, pathFactor_);
   for (const auto& [id, job] : jobs_.Waiting()) {
     if (job->fromPredecessor_ && !isSynchronized) {
+      job->waitReason_ = jobs::WaitReason::kPredecessor;
       continue;
     }
+    if (pass_.triedJobs_.contains(id)) {
+      continue;
+    }
+    job->waitReason_ = jobs::WaitReason::kNotTried;
     const auto [queue, added] = queues.try_emplace(job->queue_, nullptr);
     if (added) {
       queue->second = jobs::FindQueueByName(configuration, job->queue_);
@@ -136,13 +144,13 @@
     EndRound();
     return;
   }
-  std::vector<WorkerEntry*> entries;
-  std::vector<placement::Candidate> candidates = Candidates(entries);
-  if (candidates.empty()) {
+  Round round;
+  round.now_ = now;
+  round.candidates_ = Candidates(round.entries_);
+  if (round.candidates_.empty()) {
     return;
   }
-  int unplaced = 0;
-  // A heap, as a round under load ends long before it has seen all jobs.
+  // A heap, as a round under load may end before it has seen all jobs.
   const auto comesLater = [](const WaitingJob& aLeft, const WaitingJob& aRight) {
     return aLeft.rank_ > aRight.rank_;
   };
@@ -152,17 +160,25 @@
     std::pop_heap(waiting.begin(), waiting.end(), comesLater);
     jobs::Job& job = *waiting.back().job_;
     waiting.pop_back();
-    unplaced = PlaceJob(job, candidates, entries, now) ? 0 : unplaced + 1;
-    jobs_.Update(job);
+    if (PlaceJob(job, round)) {
+      round.unplacedJobs_ = 0;
+      jobs_.Update(job);
+    } else {
+      ++round.unplacedJobs_;
+    }
     if (startsLeft_ <= 0) {
       EndRound();
       return;
     }
-    if (unplaced > kMaxUnplacedJobs) {
+    if (round.failedSearches_ >= kMaxFailedSearches) {
+      SchedulePlacement();
       return;
     }
   }
-  PlaceCopies(candidates, entries, now);
+  pass_ = {};
+  if (round.unplacedJobs_ <= kMaxUnplacedJobs) {
+    PlaceCopies(round);
+  }
 }
 
 void
@@ -187,12 +203,10 @@
 }
 
 bool
-Cell::PlaceJob(jobs::Job& aJob,
-               std::vector<placement::Candidate>& aCandidates,
-               const std::vector<WorkerEntry*>& aEntries,
-               clock::Moment aNow)
+Cell::PlaceJob(jobs::Job& aJob, Round& aRound)
 {
   bool any = false;
+  aJob.waitReason_ = jobs::WaitReason::kNotDue;
   const std::int64_t nowMs = clock::UnixMs();
   for (const auto& [index, occurrence] : aJob.liveOccurrences_) {
     if (occurrence.dueMs_ > nowMs) {
@@ -203,36 +217,47 @@
           !jobs::IsUnblocked(aJob, occurrence, s)) {
         continue;
       }
-      any = PlaceStep(aJob, index, s, aCandidates, aEntries, aNow) > 0 || any;
+      any = PlaceStep(aJob, index, s, aRound) > 0 || any;
     }
   }
   return any;
 }
 
+void
+Cell::NoteFailedSearch(jobs::Job& aJob, const jobs::StepSpec& aStep, bool aIsGeneral, Round& aRound)
+{
+  aJob.waitReason_ = jobs::WaitReason::kNoRoom;
+  ++aRound.failedSearches_;
+  pass_.triedJobs_.insert(aJob.id_);
+  if (aIsGeneral) {
+    placement::AddUnfit(pass_.unfit_, aStep);
+  }
+}
+
 int
-Cell::PlaceStep(jobs::Job& aJob,
-                int aOccurrence,
-                int aStep,
-                std::vector<placement::Candidate>& aCandidates,
-                const std::vector<WorkerEntry*>& aEntries,
-                clock::Moment aNow)
+Cell::PlaceStep(jobs::Job& aJob, int aOccurrence, int aStep, Round& aRound)
 {
   const jobs::StepSpec& spec = aJob.spec_.steps_.at(static_cast<std::size_t>(aStep));
+  if (placement::IsUnfit(pass_.unfit_, spec)) {
+    aJob.waitReason_ = jobs::WaitReason::kNoRoom;
+    return 0;
+  }
   if (spec.gang_) {
-    return PlaceGang(aJob, aOccurrence, aStep, aCandidates, aEntries, aNow) ? 1 : 0;
+    return PlaceGang(aJob, aOccurrence, aStep, aRound) ? 1 : 0;
   }
   auto& tasks =
     aJob.liveOccurrences_.at(aOccurrence).steps_.at(static_cast<std::size_t>(aStep)).tasks_;
-  placement::StepUse use = UseOf(spec, tasks, aCandidates);
+  placement::StepUse use = UseOf(spec, tasks, aRound.candidates_);
   const std::string step = jobs::StepName(aJob.id_, aOccurrence, aStep);
   const bool needsTicket = NeedsTicket(aJob);
   if (needsTicket) {
-    const PlacementTickets::ByWorker* tickets = tickets_.Find(step, aNow);
+    const PlacementTickets::ByWorker* tickets = tickets_.Find(step, aRound.now_);
     if (tickets == nullptr) {
+      aJob.waitReason_ = jobs::WaitReason::kNoTicket;
       RequestTickets(step);
       return 0;
     }
-    for (const placement::Candidate& candidate : aCandidates) {
+    for (const placement::Candidate& candidate : aRound.candidates_) {
       use.excluded_.push_back(!tickets->contains(std::string(candidate.id_)));
     }
   }
@@ -240,19 +265,20 @@
   std::optional<std::size_t> chosen;
   for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
     const jobs::TaskState& task = tasks[static_cast<std::size_t>(i)];
-    if (task.phase_ != jobs::TaskPhase::kWaiting || task.notBefore_ > aNow) {
+    if (task.phase_ != jobs::TaskPhase::kWaiting || task.notBefore_ > aRound.now_) {
       continue;
     }
     if (startsLeft_ <= 0) {
       break;
     }
-    chosen = placement::ChooseNextWorker(spec, aCandidates, use, chosen);
+    chosen = placement::ChooseNextWorker(spec, aRound.candidates_, use, chosen);
     if (!chosen) {
+      NoteFailedSearch(aJob, spec, !needsTicket && spec.maxPerWorker_ <= 0, aRound);
       break;
     }
-    placement::Reserve(aCandidates[*chosen], spec);
+    placement::Reserve(aRound.candidates_[*chosen], spec);
     ++use.taskCounts_[*chosen];
-    StartTask(aJob, { aJob.id_, aOccurrence, aStep, i }, nextRun_++, *aEntries[*chosen]);
+    StartTask(aJob, { aJob.id_, aOccurrence, aStep, i }, nextRun_++, *aRound.entries_[*chosen]);
     ++placed;
   }
   if (needsTicket && aJob.waitingTasks_ > 0) {
@@ -262,31 +288,28 @@
 }
 
 bool
-Cell::PlaceGang(jobs::Job& aJob,
-                int aOccurrence,
-                int aStep,
-                std::vector<placement::Candidate>& aCandidates,
-                const std::vector<WorkerEntry*>& aEntries,
-                clock::Moment aNow)
+Cell::PlaceGang(jobs::Job& aJob, int aOccurrence, int aStep, Round& aRound)
 {
   const jobs::StepSpec& spec = aJob.spec_.steps_.at(static_cast<std::size_t>(aStep));
   const auto& tasks =
     aJob.liveOccurrences_.at(aOccurrence).steps_.at(static_cast<std::size_t>(aStep)).tasks_;
-  const bool ready = std::all_of(tasks.begin(), tasks.end(), [aNow](const jobs::TaskState& aTask) {
-    return aTask.phase_ == jobs::TaskPhase::kWaiting && aTask.notBefore_ <= aNow;
-  });
+  const bool ready =
+    std::all_of(tasks.begin(), tasks.end(), [&aRound](const jobs::TaskState& aTask) {
+      return aTask.phase_ == jobs::TaskPhase::kWaiting && aTask.notBefore_ <= aRound.now_;
+    });
   if (!ready || startsLeft_ <= 0) {
     return false;
   }
-  const std::vector<std::size_t> chosen = placement::ChooseGang(spec, aCandidates);
+  const std::vector<std::size_t> chosen = placement::ChooseGang(spec, aRound.candidates_);
   if (chosen.empty()) {
+    NoteFailedSearch(aJob, spec, false, aRound);
     return false;
   }
   const std::int64_t run = nextRun_++;
   for (int i = 0; i < spec.count_; ++i) {
     const std::size_t candidate = chosen[static_cast<std::size_t>(i)];
-    placement::Reserve(aCandidates[candidate], spec);
-    StartTask(aJob, { aJob.id_, aOccurrence, aStep, i }, run, *aEntries[candidate]);
+    placement::Reserve(aRound.candidates_[candidate], spec);
+    StartTask(aJob, { aJob.id_, aOccurrence, aStep, i }, run, *aRound.entries_[candidate]);
   }
   return true;
 }
@@ -369,9 +392,7 @@
 // --- Copies --------------------------------------------------------------------------------
 
 void
-Cell::PlaceCopies(std::vector<placement::Candidate>& aCandidates,
-                  const std::vector<WorkerEntry*>& aEntries,
-                  clock::Moment aNow)
+Cell::PlaceCopies(Round& aRound)
 {
   for (const auto& [id, job] : jobs_.Speculative()) {
     if (job->placedTasks_ == 0 || !job->stored_ || job->ending_) {
@@ -381,7 +402,7 @@
       for (int s = 0; s < static_cast<int>(occurrence.steps_.size()); ++s) {
         const jobs::StepSpec& spec = job->spec_.steps_.at(static_cast<std::size_t>(s));
         if (spec.speculative_ && !spec.gang_) {
-          CopyStragglers(*job, index, s, aCandidates, aEntries, aNow);
+          CopyStragglers(*job, index, s, aRound);
         }
       }
     }
@@ -413,12 +434,7 @@
 }
 
 void
-Cell::CopyStragglers(jobs::Job& aJob,
-                     int aOccurrence,
-                     int aStep,
-                     std::vector<placement::Candidate>& aCandidates,
-                     const std::vector<WorkerEntry*>& aEntries,
-                     clock::Moment aNow)
+Cell::CopyStragglers(jobs::Job& aJob, int aOccurrence, int aStep, Round& aRound)
 {
   const jobs::StepSpec& spec = aJob.spec_.steps_.at(static_cast<std::size_t>(aStep));
   jobs::StepState& step =
@@ -426,21 +442,21 @@
   const bool needsTicket = NeedsTicket(aJob);
   for (int i = 0; i < static_cast<int>(step.tasks_.size()); ++i) {
     const jobs::TaskState& task = step.tasks_[static_cast<std::size_t>(i)];
-    if (!MayCopy(aJob, step, spec, task, aNow)) {
+    if (!MayCopy(aJob, step, spec, task, aRound.now_)) {
       continue;
     }
     const jobs::TaskId id{ aJob.id_, aOccurrence, aStep, i };
-    placement::StepUse use = UseOf(spec, step.tasks_, aCandidates);
-    for (const placement::Candidate& candidate : aCandidates) {
+    placement::StepUse use = UseOf(spec, step.tasks_, aRound.candidates_);
+    for (const placement::Candidate& candidate : aRound.candidates_) {
       use.excluded_.push_back(candidate.id_ == task.worker_ ||
                               (needsTicket && TicketFor(id, std::string(candidate.id_)).empty()));
     }
-    const auto chosen = placement::ChooseWorker(spec, aCandidates, use);
+    const auto chosen = placement::ChooseWorker(spec, aRound.candidates_, use);
     if (!chosen) {
       return;
     }
-    placement::Reserve(aCandidates[*chosen], spec);
-    WorkerEntry& entry = *aEntries[*chosen];
+    placement::Reserve(aRound.candidates_[*chosen], spec);
+    WorkerEntry& entry = *aRound.entries_[*chosen];
     const std::string worker = entry.worker_->Registration().id_;
     const std::int64_t run = nextRun_++;
     log::Detail("cell",
@@ -456,8 +472,8 @@
                 task.worker_);
     context_.metrics_->Add("quetzal_copies_total", { { "service", service_ } });
     const workers::StartOrder order = OrderFor(aJob, id, run, worker);
-    jobs::PlaceCopy(aJob, id, worker, run, aNow);
-    AddStart(startWindow_, run, aNow);
+    jobs::PlaceCopy(aJob, id, worker, run, aRound.now_);
+    AddStart(startWindow_, run, aRound.now_);
     entry.worker_->Start(order, placement::MakeRun(spec, run, workers::RunState::kOrdered, Now()));
   }
 }
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -1,6 +1,7 @@
 #include "include/quetzal/jobs/JobTable.h"
 
 #include <algorithm>
+#include <array>
 
 namespace quetzal::jobs {
 namespace {
@@ -108,6 +109,14 @@
 
 } // namespace
 
+const char*
+ToString(WaitReason aReason)
+{
+  static constexpr std::array kNames{ "none",    "not-tried", "predecessor",
+                                      "not-due", "no-ticket", "no-room" };
+  return kNames.at(static_cast<std::size_t>(aReason));
+}
+
 Job
 MakeJob(const std::string& aId, const std::string& aQueue, const JobSpec& aSpec)
 {
@@ -291,6 +300,7 @@
     aJob.startedAt_ = aNow;
   }
   aJob.started_ = true;
+  aJob.lastChangeAt_ = aNow;
   if (aJob.state_ == JobState::kQueued) {
     aJob.state_ = JobState::kRunning;
   }
