A hand-over's roster names only workers that may still hold something

Callers saw accepted jobs with nothing running for seconds while there was room (report LOST; reproduced here in a test).

Cause: a successor starts nothing that its predecessor may have started until every worker of the roster has answered, the platform's list shows it gone, or 7.4 s have passed; the roster named each worker that might have been given an order at some time. One worker that had left with nothing running held every waiting job of the cell.

Change: BeginHandOver, after which no order is given, writes the roster without workers that have answered and hold neither a run nor an end that is not stored. A write that does not arrive leaves the longer roster.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -172,6 +172,9 @@
   void ReinstateIfResponsive(WorkerEntry& aEntry);
   void ExtendRoster();
   std::vector<jobs::RosterEntry> Roster() const;
+  /** Returns the workers that a successor must ask before it starts what this owner may have
+   * started. @pre no more orders will be given. */
+  std::vector<jobs::RosterEntry> HandOverRoster() const;
   void ExpireUnresponsiveWorkers();
   bool IsSynchronized() const;
   /** Returns whether a worker has left, cannot run anything, and has no ends left to store. */
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -249,6 +249,17 @@
   return roster;
 }
 
+std::vector<jobs::RosterEntry>
+Cell::HandOverRoster() const
+{
+  std::vector<jobs::RosterEntry> roster = Roster();
+  std::erase_if(roster, [this](const jobs::RosterEntry& aEntry) {
+    const Worker& worker = *workers_.at(aEntry.id_).worker_;
+    return worker.IsSynchronized() && worker.UnfinishedRuns() == 0;
+  });
+  return roster;
+}
+
 void
 Cell::ReinstateIfResponsive(WorkerEntry& aEntry)
 {
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -221,6 +221,7 @@
       entry.worker_->StopPolling();
     }
   }
+  writer_.SetRoster(HandOverRoster(), clock::Milliseconds(0), [] {});
   FlushProgress();
 }
 
--- a/tests/unit/CellFixture.h
+++ b/tests/unit/CellFixture.h
@@ -140,6 +140,16 @@
     }
   }
 
+  /** Returns whether this number of workers has answered a cell, with all their ends. */
+  static bool IsSynchronized(Cell& aCell, std::size_t aWorkers)
+  {
+    const auto workers = aCell.Report().workers_;
+    return workers.size() == aWorkers &&
+           std::all_of(workers.begin(), workers.end(), [](const cells::WorkerReport& aWorker) {
+             return aWorker.synchronized_;
+           });
+  }
+
   bool WaitForRun(FakeWorker& aWorker, const jobs::TaskId& aTask)
   {
     return RunUntil([&] { return aWorker.running_.contains(aTask); });
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -257,6 +257,41 @@
 }
 
 /** Nobody could start the task again before the cell has its next owner. */
+// LOST: every job of a predecessor waited for workers that had left with nothing running.
+BOOST_AUTO_TEST_CASE(HandOver_IdleWorkerHasGone_SuccessorStartsTasksAtOnce)
+{
+  FakeWorker& gone = AddWorker("w0");
+  FakeWorker& worker = AddWorker("w1");
+  auto cell = TakeOver("a");
+  BOOST_TEST(RunUntil([&] { return IsSynchronized(*cell, 2); }));
+  gone.reachable_ = false;
+  cell->CordonWorkers({ "w0", "w1" });
+  Submit(*cell, "job1", Spec(1));
+  cell->BeginHandOver();
+  BOOST_TEST(RunUntil([&] { return cell->IsIdle(); }));
+  cell->Abandon();
+  const auto successor = TakeOver("b");
+  BOOST_TEST(RunUntil([&] { return worker.running_.contains(first_); }, 1'000));
+}
+
+// TWICE: a worker with a run must be asked by the successor, however long it is silent.
+BOOST_AUTO_TEST_CASE(HandOver_BusyWorkerIsSilent_SuccessorWaitsForItsLease)
+{
+  FakeWorker& silent = AddWorker("w0");
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", Spec(1));
+  BOOST_TEST(WaitForRun(silent, first_));
+  silent.reachable_ = false;
+  cell->BeginHandOver();
+  BOOST_TEST(RunUntil([&] { return cell->IsIdle(); }));
+  cell->Abandon();
+  FakeWorker& other = AddWorker("w1");
+  const auto successor = TakeOver("b");
+  BOOST_TEST(WaitForRun(other, first_));
+  silent.Expire();
+  BOOST_TEST(fleet_.RunsOf(first_) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(HandOver_TasksAreToBeEvicted_GoOn)
 {
   FakeWorker& worker = AddWorker("w1");
