A predecessor's run that is being stopped uses its capacity

After a takeover the new owner stopped a second run of a task and started another task in its room at once.

Cause: Worker::StopOrphan did not enter the run in the worker's state.

Change: the run is entered as stopping, with the demand of its step, or as one that fills the worker if its job is not known, until its end is listed; its stop is repeated like any other.

Evidence: Takeover_PredecessorsRunIsBeingStopped_* and Takeover_RunOfAnUnknownJobIsBeingStopped_* failed before and pass. unit-tests: 372 pass.

--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -89,9 +89,9 @@
   /** Adds a run that a predecessor ordered. */
   void Adopt(const jobs::TaskId& aTask, const workers::Run& aRun);
 
-  /** Stops an orphaned run, which this owner neither ordered nor adopted. The order is repeated
-   * while polls report the run. */
-  void StopOrphan(const jobs::TaskId& aTask, std::int64_t aRun);
+  /** Stops an orphaned run, which this owner neither ordered nor adopted. Its capacity is used until
+   * its end is reported. */
+  void StopOrphan(const jobs::TaskId& aTask, const workers::Run& aRun);
 
   /** Stops a task's run. Its end is reported like any other. */
   void Stop(const jobs::TaskId& aTask);
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -30,6 +30,8 @@
 constexpr double kFailureScoreStep = 0.35;
 constexpr double kFailureScoreDoneFactor = 0.5;
 constexpr std::size_t kMaxExpiredAtOnce = 30;
+/** More than any worker has: the demand of a run of a job that is not known. */
+constexpr workers::Capacity kWholeWorker{ 1'000'000'000, 1'000'000'000, 1'000'000'000 };
 
 } // namespace
 
@@ -163,12 +165,19 @@
     jobs::OpenOccurrencesThrough(*job, aTask.task_.occurrence_);
     task = jobs::FindTask(*job, aTask.task_);
   }
-  if (task == nullptr || task->phase_ != jobs::TaskPhase::kWaiting) {
-    aEntry.worker_->StopOrphan(aTask.task_, aTask.run_);
+  if (task == nullptr) {
+    workers::Run orphan;
+    orphan.number_ = aTask.run_;
+    orphan.need_ = kWholeWorker;
+    aEntry.worker_->StopOrphan(aTask.task_, orphan);
     return;
   }
   const jobs::StepSpec& step = job->spec_.steps_.at(static_cast<std::size_t>(aTask.task_.step_));
   workers::Run run = placement::MakeRun(step, aTask.run_, workers::RunState::kRunning, Now());
+  if (task->phase_ != jobs::TaskPhase::kWaiting) {
+    aEntry.worker_->StopOrphan(aTask.task_, run);
+    return;
+  }
   run.answeredAt_ = Now();
   aEntry.worker_->Adopt(aTask.task_, run);
   jobs::Place(*job, aTask.task_, aEntry.worker_->Registration().id_, aTask.run_, Now());
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -156,7 +156,7 @@
 }
 
 void
-Worker::StopOrphan(const jobs::TaskId& aTask, std::int64_t aRun)
+Worker::StopOrphan(const jobs::TaskId& aTask, const workers::Run& aRun)
 {
   log::Detail("worker",
               "event=stray-stopped worker=",
@@ -164,14 +164,13 @@
               " task=",
               jobs::ToString(aTask),
               " run=",
-              aRun);
-  port_->Stop(aTask, aRun, fence_, [this](const workers::OrderReply& aReply) {
-    if (aReply.status_ == workers::OrderStatus::kFenced) {
-      Q_EMIT Fenced();
-    } else if (aReply.status_ == workers::OrderStatus::kAccepted) {
-      PollSoon();
-    }
-  });
+              aRun.number_);
+  if (!state_.runs_.contains(aTask)) {
+    workers::Run stopping = aRun;
+    stopping.state_ = workers::RunState::kStopping;
+    workers::AddRun(state_, aTask, stopping);
+  }
+  SendStop(aTask, aRun.number_);
 }
 
 void
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -447,6 +447,48 @@
   BOOST_TEST(fleet_.RunsOf(first_) == 1);
 }
 
+// LIMIT: a run that a successor stops used no capacity in its eyes.
+BOOST_AUTO_TEST_CASE(Takeover_PredecessorsRunIsBeingStopped_UsesItsCapacity)
+{
+  jobs::JobSpec half = Spec(1);
+  half.steps_.front().cpu_ = 20'000;
+  auto cell = TakeOver("a");
+  Submit(*cell, "job1", half);
+  cell->Abandon();
+  for (const char* id : { "w1", "w2" }) {
+    FakeWorker& worker = AddWorker(id);
+    worker.running_[first_] = { worker.id_ == "w1" ? 1 : 2 };
+    worker.leaseEndMs_ = worker.ClockMs() + 60'000;
+    worker.endsAtStop_ = false;
+  }
+  const auto successor = TakeOver("b");
+  BOOST_TEST(RunUntil([&] { return IsSynchronized(*successor, 2); }));
+  Submit(*successor, "job2", half);
+  RunFor(300ms);
+  const jobs::TaskId second{ "job2", 0, 0, 0 };
+  BOOST_TEST(fleet_.RunsOf(second) == 0);
+  for (const char* id : { "w1", "w2" }) {
+    fleet_.At(id).End(first_, jobs::EndKind::kStopped);
+  }
+  BOOST_TEST(RunUntil([&] { return fleet_.RunsOf(second) == 1; }));
+}
+
+// LIMIT: the same for a run of a job that a successor does not know.
+BOOST_AUTO_TEST_CASE(Takeover_RunOfAnUnknownJobIsBeingStopped_UsesTheWholeWorker)
+{
+  FakeWorker& worker = AddWorker("w1");
+  worker.running_[first_] = { 1 };
+  worker.leaseEndMs_ = worker.ClockMs() + 60'000;
+  worker.endsAtStop_ = false;
+  const auto cell = TakeOver("a");
+  BOOST_TEST(RunUntil([&] { return IsSynchronized(*cell, 1); }));
+  Submit(*cell, "job2", Spec(1));
+  RunFor(300ms);
+  BOOST_TEST(worker.starts_.empty());
+  worker.End(first_, jobs::EndKind::kStopped);
+  BOOST_TEST(RunUntil([&] { return worker.starts_.size() == 1; }));
+}
+
 BOOST_AUTO_TEST_CASE(Takeover_WorkerHasLeftBefore_IsNotWaitedFor)
 {
   times_.lease_ = 5s;
--- a/tests/unit/FakeWorkers.cpp
+++ b/tests/unit/FakeWorkers.cpp
@@ -149,7 +149,7 @@
   fence_ = aFence;
   highestEndedRuns_[aTask] = std::max(highestEndedRuns_[aTask], aRun);
   const auto entry = running_.find(aTask);
-  if (entry != running_.end() && entry->second.run_ == aRun) {
+  if (entry != running_.end() && entry->second.run_ == aRun && endsAtStop_) {
     End(aTask, jobs::EndKind::kStopped);
   }
   return { workers::OrderStatus::kAccepted, ClockMs() };
--- a/tests/unit/FakeWorkers.h
+++ b/tests/unit/FakeWorkers.h
@@ -50,6 +50,7 @@
   std::string id_;
   bool reachable_ = true;
   bool answersPolls_ = true;
+  bool endsAtStop_ = true; ///< Otherwise a run that is stopped goes on until the test ends it.
   int unansweredPolls_ = 0;
   std::chrono::milliseconds pollTimeout_{ 60 }; ///< Time after which an unanswered poll fails.
   std::int64_t startedMs_ = 1;
