Only workers that have answered are in the roster

Cause: each registered worker joined the roster at once, and a successor waits for each worker of the roster.

Change: a worker joins the roster after its first answer, before which it is given no order; one that is given up leaves it.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -168,8 +168,11 @@
   void SyncWorkers();
   void AddWorker(const workers::Registration& aRegistration);
   void RemoveWorker(const std::string& aId);
-  /** Ends the mark as terminated of a worker that has answered; it joins the roster again. */
-  void ReinstateIfResponsive(WorkerEntry& aEntry);
+  /** Decides after a poll whether a worker must join the roster. One that has answered is not
+   * terminated, whatever was said of it. One that has never answered is given no order, so that a
+   * successor need not wait for it. */
+  void UpdateRosterNeed(WorkerEntry& aEntry);
+  /** Stores a roster with the workers that must join it. */
   void ExtendRoster();
   std::vector<jobs::RosterEntry> Roster() const;
   /** Returns the workers that a successor must ask before it starts what this owner may have
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -192,11 +192,10 @@
                             this);
   const std::string id = aRegistration.id_;
   workers_[id].worker_ = worker;
-  rosterIsComplete_ = false;
   worker->SetCordoned(cordoned_.contains(id));
   connect(worker, &Worker::PollFinished, this, [this, id] {
     if (const auto entry = workers_.find(id); entry != workers_.end()) {
-      ReinstateIfResponsive(entry->second);
+      UpdateRosterNeed(entry->second);
       LimitBestEffort(entry->second);
     }
     ExtendRoster();
@@ -242,7 +241,7 @@
   std::vector<jobs::RosterEntry> roster;
   for (const auto& [id, entry] : workers_) {
     const settings::Endpoint& endpoint = entry.worker_->Registration().endpoint_;
-    if (!entry.terminated_) {
+    if (!entry.terminated_ && (entry.inherited_ || entry.rosterRequested_)) {
       roster.push_back({ id, endpoint.address_, endpoint.port_ });
     }
   }
@@ -261,11 +260,11 @@
 }
 
 void
-Cell::ReinstateIfResponsive(WorkerEntry& aEntry)
+Cell::UpdateRosterNeed(WorkerEntry& aEntry)
 {
-  if (aEntry.terminated_ && aEntry.worker_->IsResponsive()) {
+  if (aEntry.worker_->IsResponsive()) {
     aEntry.terminated_ = false;
-    rosterIsComplete_ = false;
+    rosterIsComplete_ = rosterIsComplete_ && aEntry.rosterRequested_;
   }
 }
 
@@ -278,7 +277,7 @@
   rosterIsComplete_ = true;
   std::vector<std::string> added;
   for (auto& [id, entry] : workers_) {
-    if (!entry.terminated_ && !entry.worker_->IsInRoster() && !entry.rosterRequested_) {
+    if (!entry.terminated_ && entry.worker_->IsResponsive() && !entry.rosterRequested_) {
       entry.rosterRequested_ = true;
       added.push_back(id);
     }
@@ -320,6 +319,7 @@
     if (entry.inherited_ && !entry.worker_->IsSynchronized()) {
       log::Warn("cell", "event=worker-given-up cell=", service_, " worker=", id);
       entry.worker_->ExpireRuns();
+      entry.inherited_ = false;
     }
   }
 }
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -526,6 +526,20 @@
   BOOST_TEST(RunUntil([&] { return worker.running_.contains(first_); }, 1'500));
 }
 
+// LOST: every job of a predecessor waited for a worker that nobody has ever reached.
+BOOST_AUTO_TEST_CASE(Takeover_WorkerThatNeverAnsweredThePredecessor_IsNotWaitedFor)
+{
+  FakeWorker& worker = AddWorker("w1");
+  AddWorker("w2").reachable_ = false;
+  auto cell = TakeOver("a");
+  RunFor(200ms);
+  cell->CordonWorkers({ "w1", "w2" });
+  Submit(*cell, "job1", Spec(1));
+  cell->Abandon();
+  const auto successor = TakeOver("b");
+  BOOST_TEST(RunUntil([&] { return worker.running_.contains(first_); }, 1'000));
+}
+
 BOOST_AUTO_TEST_CASE(Takeover_UnresponsiveWorkerIsUnregistered_IsStillWaitedFor)
 {
   times_.lease_ = 2s;
