--- a/include/quetzal/jobs/Records.h
+++ b/include/quetzal/jobs/Records.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/quetzal/jobs/Job.h"
+#include "include/quetzal/wire/UnpackLimit.h"
 
 #include <map>
 #include <msgpack.hpp>
@@ -204,7 +205,8 @@
 Decode(const std::string& aBytes, Record& aRecord)
 {
   try {
-    msgpack::unpack(aBytes.data(), aBytes.size()).get().convert(aRecord);
+    const auto limit = wire::LimitFor(aBytes.size());
+    msgpack::unpack(aBytes.data(), aBytes.size(), nullptr, nullptr, limit).get().convert(aRecord);
     return true;
   } catch (const std::exception&) {
     return false;
--- a/src/node/Envelope.cpp
+++ b/src/node/Envelope.cpp
@@ -1,6 +1,7 @@
 #include "src/node/Envelope.h"
 
 #include "include/quetzal/wire/Frame.h"
+#include "include/quetzal/wire/UnpackLimit.h"
 
 namespace quetzal::node {
 namespace {
@@ -22,7 +23,10 @@
 UnpackEnvelope(const std::string& aPayload)
 {
   try {
-    return msgpack::unpack(aPayload.data(), aPayload.size()).get().as<Envelope>();
+    const auto limit = wire::LimitFor(aPayload.size());
+    return msgpack::unpack(aPayload.data(), aPayload.size(), nullptr, nullptr, limit)
+      .get()
+      .as<Envelope>();
   } catch (const std::exception& error) {
     throw wire::WireError(std::string("message is neither a call nor an answer: ") + error.what());
   }
