--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -89,8 +89,8 @@
   /** Adds a run that a predecessor ordered. */
   void Adopt(const jobs::TaskId& aTask, const workers::Run& aRun);
 
-  /** Stops an orphaned run, which this owner neither ordered nor adopted. Its capacity is used until
-   * its end is reported. */
+  /** Stops an orphaned run, which this owner neither ordered nor adopted. Its capacity is used
+   * until its end is reported. */
   void StopOrphan(const jobs::TaskId& aTask, const workers::Run& aRun);
 
   /** Stops a task's run. Its end is reported like any other. */
