--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -175,6 +175,19 @@
   const jobs::StepSpec& step = job->spec_.steps_.at(static_cast<std::size_t>(aTask.task_.step_));
   workers::Run run = placement::MakeRun(step, aTask.run_, workers::RunState::kRunning, Now());
   if (task->phase_ != jobs::TaskPhase::kWaiting) {
+    log::Warn("cell",
+              "event=second-run-found cell=",
+              service_,
+              " task=",
+              jobs::ToString(aTask.task_),
+              " run=",
+              aTask.run_,
+              " worker=",
+              aEntry.worker_->Registration().id_,
+              " known_run=",
+              task->run_,
+              " known_worker=",
+              task->worker_);
     aEntry.worker_->StopOrphan(aTask.task_, run);
     return;
   }
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -407,6 +407,19 @@
             aStartedMs,
             " runs=",
             state_.runs_.size());
+  for (const auto& [task, run] : state_.runs_) {
+    if (run.state_ == workers::RunState::kOrdered) {
+      log::Warn("worker",
+                "event=order-in-doubt worker=",
+                registration_.id_,
+                " born=",
+                aStartedMs,
+                " task=",
+                jobs::ToString(task),
+                " run=",
+                run.number_);
+    }
+  }
   ++incarnation_;
   state_.lastReportedEnd_ = 0;
   state_.lastAcknowledgedEnd_ = 0;
