Orders for an earlier incarnation of a worker are settled by a fence

Cause: a poll that showed a worker's new incarnation ended all its runs, also those whose start order had no answer yet. A worker that starts again under its id can't tell such an order from a new one: the order names the id, its deadline is of the older, larger clock, and the new incarnation has seen no fence. So the task was placed again while its first order could still be carried out. The class: what was sent to one incarnation was taken as settled when that incarnation ended.

Change: a new incarnation ends only the runs whose order was carried out. The others stay, with their capacity, and the worker gets no orders until it has answered a poll under a higher fence: the revision of a change of this owner's write chain, which is above all its earlier calls and below any later claim. From then on the worker rejects every call that was meant for the earlier incarnation (starts, stops, acknowledgements, lease ends), so an order that it does not list is known not to run. Until then its lease counts as renewed by such calls, up to the longest that workers grant. A stop that the earlier incarnation confirmed no longer counts. An address that changes under a worker's id ends no runs any more: the worker is asked at the new one, and is stored in the roster with it before it gets orders.

Why it works: the fence is the one thing in a call that a new incarnation can compare. Where the roster was stored since the claim, raising it needs no write.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -168,6 +168,10 @@
   void SyncWorkers();
   void AddWorker(const workers::Registration& aRegistration);
   void RemoveWorker(const std::string& aId);
+  void MoveWorker(WorkerEntry& aEntry, const workers::Registration& aRegistration);
+  /** Raises the fence of a worker that has started again, to the revision of a change of this
+   * owner. */
+  void RaiseFence(const std::string& aId);
   /** Decides after a poll whether a worker must join the roster. One that has answered is not
    * terminated, whatever was said of it. One that has never answered is given no order, so that a
    * successor need not wait for it. */
--- a/include/quetzal/cells/CellWriter.h
+++ b/include/quetzal/cells/CellWriter.h
@@ -63,6 +63,10 @@
   /** Stops writing. Every write that is pending or in flight ends with kOwnershipLost. */
   void Abandon();
 
+  /** Returns the revision of the last change that is known to be stored. A later owner's claim has
+   * a higher one. */
+  std::int64_t Revision() const { return chainRevision_; }
+
   /** Returns the number of writes that wait for the change in flight. */
   std::size_t Backlog() const { return pending_.size(); }
 
--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -13,6 +13,7 @@
 {
   clock::Milliseconds lease_{ 5'000 };       ///< Granted to all runs on a worker at each poll.
   clock::Milliseconds startWindow_{ 1'000 }; ///< A start order that arrives later is ignored.
+  clock::Milliseconds longest_{ 10'000 };    ///< Workers shorten every longer lease to this.
 
   bool operator==(const LeaseTimes&) const = default;
 };
@@ -50,6 +51,15 @@
   /** Replaces the registration by a newer one. */
   void Update(const workers::Registration& aRegistration);
 
+  /** Replaces the registration by one with another address. What runs there, and whether it is
+   * another incarnation, is known once the worker has answered at that address. */
+  void Move(const workers::Registration& aRegistration, std::unique_ptr<workers::WorkerPort> aPort);
+
+  /** Sets the fence of all further calls. @param aFence higher than that of every earlier call to
+   * this worker, and lower than that of any later owner. */
+  void RaiseFence(std::int64_t aFence);
+  std::int64_t Fence() const { return fence_; }
+
   /** Marks the worker's registration as removed: nothing more is started here. */
   void MarkUnregistered() { registered_ = false; }
   bool IsRegistered() const { return registered_; }
@@ -135,23 +145,37 @@
   void UnknownRunFound(const quetzal::workers::RunningTask& aTask);
   /** The worker has seen a higher fence number: the cell has another owner. */
   void Fenced();
+  /** The worker has started again under its id, and may still receive calls that were meant for its
+   * earlier incarnation. Nothing is started there until RaiseFence has been called and the worker
+   * has answered a poll under that fence, after which it rejects them. */
+  void Restarted();
 
 private:
+  /** What a poll carried, for the time when its answer arrives. */
+  struct SentPoll
+  {
+    std::int64_t fence_ = 0;
+    std::int64_t acknowledgedEnd_ = 0;
+    clock::Moment sentAt_{};
+  };
+
   void Poll();
-  void OnStatus(const workers::WorkerStatus& aStatus,
-                std::int64_t aAcknowledged,
-                clock::Moment aSentAt);
+  void OnStatus(const workers::WorkerStatus& aStatus, const SentPoll& aPoll);
   void OnPollFailed(const workers::WorkerStatus& aStatus);
   void OnStartReply(const jobs::TaskId& aTask,
                     std::int64_t aRun,
                     const workers::OrderReply& aReply);
   void SendStop(const jobs::TaskId& aTask, std::int64_t aRun);
+  /** Sends a stop again after a delay, if the run is still known then. */
+  void RetryStop(const jobs::TaskId& aTask, std::int64_t aRun);
   void BeginIncarnation(std::int64_t aStartedMs);
+  /** Sets the worker's clock from an answer under the present fence or an earlier one. */
+  void ReadClock(std::int64_t aClockMs, std::int64_t aFence);
   void ReadEnds(const std::vector<workers::EndedTask>& aEnds);
   /** @return the tasks whose known run is running. */
   std::set<jobs::TaskId> ReadRunning(const std::vector<workers::RunningTask>& aRunning);
-  void CheckMissingRuns(const std::set<jobs::TaskId>& aSeen, clock::Moment aSentAt);
-  void EndAllRuns(jobs::EndKind aKind);
+  void CheckMissingRuns(const std::set<jobs::TaskId>& aSeen, const SentPoll& aPoll);
+  void EndRuns(const std::map<jobs::TaskId, workers::Run>& aRuns, jobs::EndKind aKind);
   void SchedulePoll(clock::Milliseconds aDelay);
   void OnTimer();
 
@@ -173,6 +197,10 @@
   /** An answer to a start order since the last poll had an earlier clock reading than that poll. */
   bool mayHaveRestarted_ = false;
   int incarnation_ = 0;
+  /** Highest fence of the calls that were meant for an earlier incarnation. */
+  std::int64_t staleFence_ = 0;
+  /** The present incarnation has not answered under a higher fence than staleFence_ yet. */
+  bool mayObeyStaleCalls_ = false;
   clock::Moment startsPausedUntil_{};
 };
 
--- a/include/quetzal/cells/WriteChains.h
+++ b/include/quetzal/cells/WriteChains.h
@@ -36,6 +36,9 @@
                  clock::Milliseconds aDelay,
                  const std::function<void()>& aDone);
 
+  /** Returns the revision of the last roster that is known to be stored, or of the claim. */
+  std::int64_t RosterRevision() const { return rosterChain_->Revision(); }
+
   /** Stops writing. Every write that is pending or in flight ends with kOwnershipLost. */
   void Abandon();
 
--- a/include/quetzal/workers/WorkerState.h
+++ b/include/quetzal/workers/WorkerState.h
@@ -35,6 +35,8 @@
   clock::Moment stopConfirmedAt_{}; ///< When a stop was confirmed; the run cannot start later.
   int progressPercent_ = 0;         ///< As last reported; see RunningTask.
   int speedPercent_ = 100;          ///< Last speed limit sent, in per cent of full speed.
+  std::int64_t fence_ = 0;          ///< Fence of the start order.
+  bool confirmed_ = false; ///< The worker has carried the start order out: it will not do so again.
   /** Tail latency in ms of a latency-sensitive task; processor use in millicores of any other. */
   std::int64_t measurement_ = 0;
 };
@@ -87,6 +89,17 @@
 std::map<jobs::TaskId, Run>
 TakeRuns(WorkerState& aState);
 
+/** Removes and returns the runs that ended with a worker's incarnation because their start orders
+ * were carried out by it. An order that has no answer may still be carried out by the next one. */
+std::map<jobs::TaskId, Run>
+TakeConfirmedRuns(WorkerState& aState);
+
+/** Returns whether a run has not started, and can no longer start, on a worker that does not list
+ * it.
+ * @param aFence a fence that the worker had seen when it listed its runs. */
+bool
+IsRejectedBy(const Run& aRun, std::int64_t aFence);
+
 /** Returns an estimate of the worker's clock now; 0 if unknown. The estimate is ahead of the clock
  * by at most the clock's drift. */
 std::int64_t
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -164,9 +164,7 @@
       continue;
     }
     if (entry->second.worker_->Registration().endpoint_ != registration.endpoint_) {
-      entry->second.worker_->ExpireRuns();
-      RemoveWorker(id);
-      AddWorker(registration);
+      MoveWorker(entry->second, registration);
       continue;
     }
     entry->second.worker_->Update(registration);
@@ -186,7 +184,7 @@
 {
   auto* worker = new Worker(aRegistration,
                             context_.makeWorker_(aRegistration.id_, aRegistration.endpoint_),
-                            fence_,
+                            writer_.RosterRevision(),
                             context_.times_,
                             context_.sinceLeaseLapse_,
                             this);
@@ -221,9 +219,37 @@
     log::Warn("cell", "event=fenced cell=", service_, " worker=", id, " fence=", fence_);
     Q_EMIT OwnershipLost();
   });
+  connect(worker, &Worker::Restarted, this, [this, id] { RaiseFence(id); });
   worker->BeginPolling();
 }
 
+void
+Cell::MoveWorker(WorkerEntry& aEntry, const workers::Registration& aRegistration)
+{
+  log::Info("cell", "event=worker-moved cell=", service_, " worker=", aRegistration.id_);
+  // A successor finds the worker only at the address that is in the roster, so the roster is stored
+  // again before anything is started there.
+  aEntry.rosterRequested_ = false;
+  aEntry.worker_->SetInRoster(false);
+  aEntry.worker_->Move(aRegistration,
+                       context_.makeWorker_(aRegistration.id_, aRegistration.endpoint_));
+}
+
+void
+Cell::RaiseFence(const std::string& aId)
+{
+  const auto raise = [this, aId] {
+    if (const auto entry = workers_.find(aId); entry != workers_.end()) {
+      entry->second.worker_->RaiseFence(writer_.RosterRevision());
+    }
+  };
+  if (workers_.at(aId).worker_->Fence() < writer_.RosterRevision()) {
+    raise();
+  } else if (!handingOver_) {
+    writer_.SetRoster(Roster(), clock::Milliseconds(0), raise);
+  }
+}
+
 void
 Cell::RemoveWorker(const std::string& aId)
 {
@@ -241,7 +267,9 @@
   std::vector<jobs::RosterEntry> roster;
   for (const auto& [id, entry] : workers_) {
     const settings::Endpoint& endpoint = entry.worker_->Registration().endpoint_;
-    if (!entry.terminated_ && (entry.inherited_ || entry.rosterRequested_)) {
+    const bool mayHaveRuns =
+      entry.inherited_ || entry.rosterRequested_ || entry.worker_->UnfinishedRuns() > 0;
+    if (!entry.terminated_ && mayHaveRuns) {
       roster.push_back({ id, endpoint.address_, endpoint.port_ });
     }
   }
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -7,6 +7,8 @@
 namespace quetzal::cells {
 namespace {
 
+using namespace std::chrono_literals;
+
 /** A worker with runs delays its answer to a poll until a run ends, at most for this time. */
 constexpr clock::Milliseconds kPollWait{ 1'000 };
 /** Delay of a poll, so that ends which follow each other closely are reported together. */
@@ -21,6 +23,9 @@
 /** Time for which nothing is started on a worker that found an order invalid or is unhealthy. */
 constexpr clock::Milliseconds kStartPause{ 700 };
 
+/** Time for which a call that gets no answer may still be carried out. */
+constexpr clock::Milliseconds kMaxCallDelay{ 5'000 };
+
 /** Longest wait of a poll where latency-sensitive and best-effort tasks share the worker, so that
  * latencies are read at least this often. */
 constexpr clock::Milliseconds kMixedLoadPollWait{ 400 };
@@ -64,11 +69,43 @@
   registration_ = aRegistration;
 }
 
+void
+Worker::Move(const workers::Registration& aRegistration, std::unique_ptr<workers::WorkerPort> aPort)
+{
+  port_ = std::move(aPort); // The calls in flight get no answers any more.
+  polling_ = false;
+  unresponsive_ = true;
+  const clock::Moment now = std::chrono::steady_clock::now();
+  for (auto& [task, run] : state_.runs_) {
+    run.speedPercent_ = workers::kUnknownSpeed;
+    if (run.state_ == workers::RunState::kOrdered) {
+      run.state_ = workers::RunState::kUnconfirmed;
+      run.answeredAt_ = now;
+      Q_EMIT StartAnswered(run.number_);
+    } else if (run.state_ == workers::RunState::kStopping) {
+      SendStop(task, run.number_);
+    }
+  }
+  Update(aRegistration);
+  if (!pollingStopped_) {
+    Poll();
+  }
+}
+
+void
+Worker::RaiseFence(std::int64_t aFence)
+{
+  if (aFence > fence_) {
+    fence_ = aFence;
+    PollSoon();
+  }
+}
+
 bool
 Worker::IsSchedulable() const
 {
   return synchronized_ && state_.clock_ && registered_ && inRoster_ && !cordoned_ &&
-         !unresponsive_ && !registration_.draining_ &&
+         !unresponsive_ && !mayObeyStaleCalls_ && !registration_.draining_ &&
          std::chrono::steady_clock::now() >= startsPausedUntil_;
 }
 
@@ -87,7 +124,9 @@
 void
 Worker::Start(const workers::StartOrder& aOrder, const workers::Run& aRun)
 {
-  workers::AddRun(state_, aOrder.task_, aRun);
+  workers::Run ordered = aRun;
+  ordered.fence_ = fence_;
+  workers::AddRun(state_, aOrder.task_, ordered);
   workers::StartOrder order = aOrder;
   order.fence_ = fence_;
   order.deadlineMs_ = workers::ClockAt(state_, std::chrono::steady_clock::now()) +
@@ -121,13 +160,17 @@
                                             aReply.clockMs_ < state_.clock_->clockMs_);
   switch (aReply.status_) {
     case OrderStatus::kAccepted:
+      entry->second.confirmed_ = true;
       if (entry->second.state_ == workers::RunState::kOrdered) {
         entry->second.state_ = workers::RunState::kRunning;
       }
       return;
     case OrderStatus::kFenced:
-      Q_EMIT Fenced();
-      return;
+      if (entry->second.fence_ == fence_) {
+        Q_EMIT Fenced();
+        return;
+      }
+      break; // The worker started again before the order arrived.
     case OrderStatus::kNoAnswer:
       if (entry->second.state_ == workers::RunState::kOrdered) {
         entry->second.state_ = workers::RunState::kUnconfirmed;
@@ -152,7 +195,9 @@
 void
 Worker::Adopt(const jobs::TaskId& aTask, const workers::Run& aRun)
 {
-  workers::AddRun(state_, aTask, aRun);
+  workers::Run adopted = aRun;
+  adopted.confirmed_ = true;
+  workers::AddRun(state_, aTask, adopted);
 }
 
 void
@@ -168,6 +213,7 @@
   if (!state_.runs_.contains(aTask)) {
     workers::Run stopping = aRun;
     stopping.state_ = workers::RunState::kStopping;
+    stopping.confirmed_ = true;
     workers::AddRun(state_, aTask, stopping);
   }
   SendStop(aTask, aRun.number_);
@@ -187,30 +233,34 @@
 void
 Worker::SendStop(const jobs::TaskId& aTask, std::int64_t aRun)
 {
-  port_->Stop(aTask, aRun, fence_, [this, aTask, aRun](const workers::OrderReply& aReply) {
+  const auto onReply = [this, aTask, aRun, fence = fence_, incarnation = incarnation_](
+                         const workers::OrderReply& aReply) {
     const auto entry = state_.runs_.find(aTask);
     if (entry == state_.runs_.end() || entry->second.number_ != aRun) {
       return;
     }
-    switch (aReply.status_) {
-      case workers::OrderStatus::kAccepted:
-        entry->second.stopConfirmedAt_ = std::chrono::steady_clock::now();
-        PollSoon();
-        return;
-      case workers::OrderStatus::kFenced:
-        Q_EMIT Fenced();
-        return;
-      case workers::OrderStatus::kOtherIncarnation:
-        BeginIncarnation(0);
-        PollSoon();
-        return;
-      default:
-        QTimer::singleShot(kStopRetryDelay, this, [this, aTask, aRun] {
-          const auto again = state_.runs_.find(aTask);
-          if (again != state_.runs_.end() && again->second.number_ == aRun) {
-            SendStop(aTask, aRun);
-          }
-        });
+    if (aReply.status_ == workers::OrderStatus::kFenced && fence == fence_) {
+      Q_EMIT Fenced();
+    } else if (aReply.status_ == workers::OrderStatus::kOtherIncarnation) {
+      BeginIncarnation(0);
+      PollSoon();
+    } else if (aReply.status_ == workers::OrderStatus::kAccepted && incarnation == incarnation_) {
+      entry->second.stopConfirmedAt_ = std::chrono::steady_clock::now();
+      PollSoon();
+    } else {
+      RetryStop(aTask, aRun);
+    }
+  };
+  port_->Stop(aTask, aRun, fence_, onReply);
+}
+
+void
+Worker::RetryStop(const jobs::TaskId& aTask, std::int64_t aRun)
+{
+  QTimer::singleShot(kStopRetryDelay, this, [this, aTask, aRun] {
+    const auto entry = state_.runs_.find(aTask);
+    if (entry != state_.runs_.end() && entry->second.number_ == aRun) {
+      SendStop(aTask, aRun);
     }
   });
 }
@@ -285,7 +335,7 @@
               state_.runs_.size(),
               " granted_ms=",
               state_.leaseEndMs_);
-    EndAllRuns(jobs::EndKind::kLapsed);
+    EndRuns(workers::TakeRuns(state_), jobs::EndKind::kLapsed);
   }
   Poll();
 }
@@ -312,23 +362,28 @@
       workers::ClockAt(state_, now) + static_cast<std::int64_t>(times_.lease_.count());
     state_.leaseEndMs_ = std::max(state_.leaseEndMs_, *order.leaseEndMs_);
     order.wait_ = state_.unrecordedEnds_.empty() ? kPollWait : kPollWait / 10;
+    if (mayObeyStaleCalls_) {
+      order.wait_ = 0ms;
+    }
     if (workers::HasMixedLoad(state_)) {
       order.wait_ = std::min(order.wait_, kMixedLoadPollWait);
     }
   }
+  const SentPoll poll{ fence_, order.acknowledgeUpTo_, now };
   port_->Poll(order,
-              [this, now, acknowledged = order.acknowledgeUpTo_](
-                const workers::WorkerStatus& aStatus) { OnStatus(aStatus, acknowledged, now); });
+              [this, poll](const workers::WorkerStatus& aStatus) { OnStatus(aStatus, poll); });
 }
 
 void
-Worker::OnStatus(const workers::WorkerStatus& aStatus,
-                 std::int64_t aAcknowledged,
-                 clock::Moment aSentAt)
+Worker::OnStatus(const workers::WorkerStatus& aStatus, const SentPoll& aPoll)
 {
   polling_ = false;
   if (aStatus.status_ == workers::OrderStatus::kFenced) {
-    Q_EMIT Fenced();
+    if (aPoll.fence_ == fence_) {
+      Q_EMIT Fenced();
+    } else {
+      SchedulePoll(kPollDelay);
+    }
     return;
   }
   if (pollingStopped_) {
@@ -351,20 +406,15 @@
     BeginIncarnation(aStatus.startedMs_);
   }
   if (aStatus.startedMs_ == startedBefore) {
-    state_.lastAcknowledgedEnd_ = std::max(state_.lastAcknowledgedEnd_, aAcknowledged);
-  }
-  const workers::ClockReading reading{ aStatus.clockMs_, std::chrono::steady_clock::now() };
-  if (state_.clock_) {
-    state_.clock_ = reading;
-  } else {
-    workers::BeginClock(state_, reading, LongestLease(times_));
+    state_.lastAcknowledgedEnd_ = std::max(state_.lastAcknowledgedEnd_, aPoll.acknowledgedEnd_);
   }
+  ReadClock(aStatus.clockMs_, aPoll.fence_);
   // A run that is in neither list may be among the ends that are not listed yet.
   synchronized_ = synchronized_ || !aStatus.mayHaveMoreEnds_;
   ReadEnds(aStatus.ended_);
   const std::set<jobs::TaskId> running = ReadRunning(aStatus.running_);
   if (!aStatus.mayHaveMoreEnds_) {
-    CheckMissingRuns(running, aSentAt);
+    CheckMissingRuns(running, aPoll);
   }
   const bool idle = state_.runs_.empty() && aStatus.ended_.empty();
   if (!state_.unrecordedEnds_.empty()) {
@@ -392,10 +442,27 @@
   Q_EMIT PollFinished();
 }
 
+void
+Worker::ReadClock(std::int64_t aClockMs, std::int64_t aFence)
+{
+  const workers::ClockReading reading{ aClockMs, std::chrono::steady_clock::now() };
+  if (mayObeyStaleCalls_) {
+    // Calls for the earlier incarnation carry lease ends of its clock, which may be far ahead.
+    mayObeyStaleCalls_ = aFence <= staleFence_;
+    workers::BeginClock(
+      state_, reading, times_.longest_ + (mayObeyStaleCalls_ ? kMaxCallDelay : 0ms));
+  } else if (state_.clock_) {
+    state_.clock_ = reading;
+  } else {
+    workers::BeginClock(state_, reading, LongestLease(times_));
+  }
+}
+
 void
 Worker::BeginIncarnation(std::int64_t aStartedMs)
 {
-  const bool isFirst = state_.startedMs_ == 0 && aStartedMs != 0 && state_.runs_.empty();
+  const bool isFirst =
+    incarnation_ == 0 && state_.startedMs_ == 0 && aStartedMs != 0 && state_.runs_.empty();
   state_.startedMs_ = aStartedMs;
   if (isFirst) {
     return;
@@ -408,7 +475,7 @@
             " runs=",
             state_.runs_.size());
   for (const auto& [task, run] : state_.runs_) {
-    if (run.state_ == workers::RunState::kOrdered) {
+    if (!run.confirmed_) {
       log::Warn("worker",
                 "event=order-in-doubt worker=",
                 registration_.id_,
@@ -425,13 +492,24 @@
   state_.lastAcknowledgedEnd_ = 0;
   state_.unrecordedEnds_.clear();
   state_.clock_.reset();
-  EndAllRuns(jobs::EndKind::kLapsed);
+  for (auto& [task, run] : state_.runs_) {
+    run.stopConfirmedAt_ = {}; // A stop binds only the incarnation that confirmed it.
+  }
+  if (aStartedMs == 0) {
+    // What answers at the address has another id, and rejects all orders for this one.
+    EndRuns(workers::TakeRuns(state_), jobs::EndKind::kLapsed);
+    return;
+  }
+  staleFence_ = fence_;
+  mayObeyStaleCalls_ = true;
+  EndRuns(workers::TakeConfirmedRuns(state_), jobs::EndKind::kLapsed);
+  Q_EMIT Restarted();
 }
 
 void
-Worker::EndAllRuns(jobs::EndKind aKind)
+Worker::EndRuns(const std::map<jobs::TaskId, workers::Run>& aRuns, jobs::EndKind aKind)
 {
-  for (const auto& [task, run] : workers::TakeRuns(state_)) {
+  for (const auto& [task, run] : aRuns) {
     Q_EMIT RunEnded(task, run.number_, aKind, {}, 0);
   }
 }
@@ -441,7 +519,7 @@
 {
   synchronized_ = true;
   unresponsive_ = true;
-  EndAllRuns(jobs::EndKind::kLapsed);
+  EndRuns(workers::TakeRuns(state_), jobs::EndKind::kLapsed);
 }
 
 void
@@ -469,6 +547,7 @@
       continue;
     }
     seen.insert(running.task_);
+    entry->second.confirmed_ = true;
     entry->second.measurement_ = running.measurement_;
     entry->second.progressPercent_ = running.progressPercent_;
     if (entry->second.state_ == workers::RunState::kUnconfirmed ||
@@ -481,18 +560,20 @@
 }
 
 void
-Worker::CheckMissingRuns(const std::set<jobs::TaskId>& aSeen, clock::Moment aSentAt)
+Worker::CheckMissingRuns(const std::set<jobs::TaskId>& aSeen, const SentPoll& aPoll)
 {
   std::vector<std::pair<jobs::TaskId, std::int64_t>> missing;
   std::vector<std::pair<jobs::TaskId, std::int64_t>> toStop;
   const clock::Moment never{};
   for (auto& [task, run] : state_.runs_) {
-    if (aSeen.contains(task) || run.state_ == workers::RunState::kOrdered) {
+    const bool rejected = workers::IsRejectedBy(run, aPoll.fence_);
+    if (aSeen.contains(task) || (run.state_ == workers::RunState::kOrdered && !rejected)) {
       continue;
     }
-    const bool stopConfirmed = run.stopConfirmedAt_ != never && run.stopConfirmedAt_ < aSentAt;
-    const bool answered = run.answeredAt_ != never && run.answeredAt_ < aSentAt;
-    if (stopConfirmed || (run.state_ == workers::RunState::kRunning && answered)) {
+    const bool stopConfirmed =
+      run.stopConfirmedAt_ != never && run.stopConfirmedAt_ < aPoll.sentAt_;
+    const bool answered = run.answeredAt_ != never && run.answeredAt_ < aPoll.sentAt_;
+    if (rejected || stopConfirmed || (run.state_ == workers::RunState::kRunning && answered)) {
       missing.emplace_back(task, run.number_);
     } else if (run.state_ == workers::RunState::kUnconfirmed && answered) {
       run.state_ = workers::RunState::kStopping;
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -88,6 +88,7 @@
   settings.moveTime_ = Seconds(root, "move_s");
   settings.maintenanceTime_ = Seconds(root, "maintenance_s");
   const clock::Milliseconds longest = Milliseconds(root, "longest_lease_ms");
+  settings.leaseTimes_.longest_ = longest;
   settings.leaseTimes_.lease_ = std::max(std::min(kWantedLease, longest - kLeaseMargin), 1'000ms);
   return settings;
 }
--- a/src/workers/WorkerState.cpp
+++ b/src/workers/WorkerState.cpp
@@ -61,6 +61,27 @@
   return runs;
 }
 
+std::map<jobs::TaskId, Run>
+TakeConfirmedRuns(WorkerState& aState)
+{
+  std::map<jobs::TaskId, Run> confirmed;
+  for (const auto& [task, run] : aState.runs_) {
+    if (run.confirmed_) {
+      confirmed.emplace(task, run);
+    }
+  }
+  for (const auto& [task, run] : confirmed) {
+    RemoveRun(aState, task, run.number_);
+  }
+  return confirmed;
+}
+
+bool
+IsRejectedBy(const Run& aRun, std::int64_t aFence)
+{
+  return !aRun.confirmed_ && aRun.fence_ < aFence;
+}
+
 std::int64_t
 ClockAt(const WorkerState& aState, clock::Moment aNow)
 {
--- a/tests/unit/WorkerStateTest.cpp
+++ b/tests/unit/WorkerStateTest.cpp
@@ -69,6 +69,30 @@
   BOOST_TEST((state.used_ == Capacity{}));
 }
 
+BOOST_AUTO_TEST_CASE(ConfirmedRuns_Taken_RunsWithoutAnAnswerStayAndUseTheirCapacity)
+{
+  WorkerState state;
+  Run confirmed = MakeRun(1, 700);
+  confirmed.confirmed_ = true;
+  AddRun(state, task_, confirmed);
+  const jobs::TaskId other{ "j", 0, 0, 1 };
+  AddRun(state, other, MakeRun(2, 200));
+  BOOST_TEST(TakeConfirmedRuns(state).contains(task_));
+  BOOST_TEST(state.runs_.size() == 1U);
+  BOOST_TEST(state.runs_.contains(other));
+  BOOST_TEST(state.used_.cpu_ == 200);
+}
+
+BOOST_AUTO_TEST_CASE(Run_WorkerHasSeenAFence_IsRejectedOnlyIfOrderedUnderALowerOneAndUnconfirmed)
+{
+  Run run = MakeRun(1, 700);
+  run.fence_ = 5;
+  BOOST_TEST(!IsRejectedBy(run, 5));
+  BOOST_TEST(IsRejectedBy(run, 6));
+  run.confirmed_ = true;
+  BOOST_TEST(!IsRejectedBy(run, 6));
+}
+
 BOOST_AUTO_TEST_CASE(Lease_WorkerClockIsSlow_LapsesOnceThatClockHasPassedItsEnd)
 {
   WorkerState state;
