An orphaned run has its own entry beside its task's known run

What callers would see: a worker is filled beyond its capacity, or a run that its owner wanted to stop goes on beside another run of the task.

Cause: a worker's state had one entry per task. An orphan of a task with a known run there was not entered: its capacity was not counted, and its stop was not sent again once the worker no longer listed the run, though a lost stop says nothing of it. An orphan of a task without a run was entered as that task's run, so that the task's next start replaced it, with its capacity and the repetition of its stop.

Change: orphans are kept apart, by task and run number. They use capacity, keep the lease and the worker's place in the roster, and are stopped again until the stop is confirmed. An orphan goes with its listed end, with a poll sent after a confirmed stop that does not list it, or with the incarnation. Each orphan is reported and stopped once, not at each poll.

Conclusion: shown on a worker whose lists a test sets; no record of a deployment shows that this was what happened there.

--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -99,8 +99,8 @@
   /** Adds a run that a predecessor ordered. */
   void Adopt(const jobs::TaskId& aTask, const workers::Run& aRun);
 
-  /** Stops an orphaned run, which this owner neither ordered nor adopted. Its capacity is used
-   * until its end is reported. */
+  /** Stops an orphaned run, which this owner neither ordered nor adopted, beside any known run of
+   * the task. Its capacity is used until it has ended. */
   void StopOrphan(const jobs::TaskId& aTask, const workers::Run& aRun);
 
   /** Stops a task's run. Its end is reported like any other. */
@@ -172,9 +172,10 @@
   /** Sets the worker's clock from an answer under the present fence or an earlier one. */
   void ReadClock(std::int64_t aClockMs, std::int64_t aFence);
   void ReadEnds(const std::vector<workers::EndedTask>& aEnds);
-  /** @return the tasks whose known run is running. */
-  std::set<jobs::TaskId> ReadRunning(const std::vector<workers::RunningTask>& aRunning);
-  void CheckMissingRuns(const std::set<jobs::TaskId>& aSeen, const SentPoll& aPoll);
+  /** @return the known runs and orphans that are running. */
+  std::set<workers::RunKey> ReadRunning(const std::vector<workers::RunningTask>& aRunning);
+  void CheckMissingRuns(const std::set<workers::RunKey>& aSeen, const SentPoll& aPoll);
+  void RemoveMissingOrphans(const std::set<workers::RunKey>& aSeen, clock::Moment aPolledAt);
   void EndRuns(const std::map<jobs::TaskId, workers::Run>& aRuns, jobs::EndKind aKind);
   void SchedulePoll(clock::Milliseconds aDelay);
   void OnTimer();
--- a/include/quetzal/workers/WorkerState.h
+++ b/include/quetzal/workers/WorkerState.h
@@ -41,6 +41,15 @@
   std::int64_t measurement_ = 0;
 };
 
+/** Names one run. The tasks of a gang have the same run number. */
+struct RunKey
+{
+  jobs::TaskId task_;
+  std::int64_t number_ = 0;
+
+  auto operator<=>(const RunKey&) const = default;
+};
+
 /** How many runs of each special kind a worker has. */
 struct RunCounts
 {
@@ -65,7 +74,10 @@
 struct WorkerState
 {
   std::map<jobs::TaskId, Run> runs_;
-  Capacity used_;
+  /** Runs that the owner neither ordered nor adopted, and stops. A task may have several of them
+   * beside its run in runs_. */
+  std::map<RunKey, Run> orphans_;
+  Capacity used_; ///< By all runs, including orphans.
   RunCounts counts_;
   std::optional<ClockReading> clock_;
   /** Latest end that the lease may have, on the worker's clock: as sent by this owner, or by an
@@ -81,16 +93,29 @@
 void
 AddRun(WorkerState& aState, const jobs::TaskId& aTask, const Run& aRunToAdd);
 
-/** Removes a run and the capacity that it uses. @return whether the worker had that run. */
+/** Adds an orphan and the capacity that it uses. @return whether it was not known yet. */
+bool
+AddOrphan(WorkerState& aState, const jobs::TaskId& aTask, const Run& aOrphan);
+
+/** Returns a task's run or orphan that has this number, or null. */
+Run*
+FindRun(WorkerState& aState, const RunKey& aKey);
+
+/** Returns whether there are any runs, including orphans. */
+bool
+HasRuns(const WorkerState& aState);
+
+/** Removes a run or an orphan, and the capacity that it uses. @return whether the worker had it. */
 bool
 RemoveRun(WorkerState& aState, const jobs::TaskId& aTask, std::int64_t aRun);
 
-/** Removes and returns all runs. */
+/** Removes all runs and orphans, and returns the runs. */
 std::map<jobs::TaskId, Run>
 TakeRuns(WorkerState& aState);
 
 /** Removes and returns the runs that ended with a worker's incarnation because their start orders
- * were carried out by it. An order that has no answer may still be carried out by the next one. */
+ * were carried out by it. An order that has no answer may still be carried out by the next one.
+ * Orphans are removed too, since the worker has listed them. */
 std::map<jobs::TaskId, Run>
 TakeConfirmedRuns(WorkerState& aState);
 
@@ -100,6 +125,11 @@
 bool
 IsRejectedBy(const Run& aRun, std::int64_t aFence);
 
+/** Returns whether a stop of the run was confirmed before a moment. If the worker does not list the
+ * run after it, the run has ended or never started, and cannot start. */
+bool
+IsStopConfirmed(const Run& aRun, clock::Moment aBefore);
+
 /** Returns an estimate of the worker's clock now; 0 if unknown. The estimate is ahead of the clock
  * by at most the clock's drift. */
 std::int64_t
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -86,6 +86,9 @@
       SendStop(task, run.number_);
     }
   }
+  for (const auto& [key, orphan] : state_.orphans_) {
+    SendStop(key.task_, key.number_);
+  }
   Update(aRegistration);
   if (!pollingStopped_) {
     Poll();
@@ -112,7 +115,8 @@
 int
 Worker::UnfinishedRuns() const
 {
-  return static_cast<int>(state_.runs_.size() + state_.unrecordedEnds_.size());
+  return static_cast<int>(state_.runs_.size() + state_.orphans_.size() +
+                          state_.unrecordedEnds_.size());
 }
 
 void
@@ -210,13 +214,12 @@
               jobs::ToString(aTask),
               " run=",
               aRun.number_);
-  if (!state_.runs_.contains(aTask)) {
-    workers::Run stopping = aRun;
-    stopping.state_ = workers::RunState::kStopping;
-    stopping.confirmed_ = true;
-    workers::AddRun(state_, aTask, stopping);
+  workers::Run stopping = aRun;
+  stopping.state_ = workers::RunState::kStopping;
+  stopping.confirmed_ = true;
+  if (workers::AddOrphan(state_, aTask, stopping)) {
+    SendStop(aTask, aRun.number_);
   }
-  SendStop(aTask, aRun.number_);
 }
 
 void
@@ -235,8 +238,8 @@
 {
   const auto onReply = [this, aTask, aRun, fence = fence_, incarnation = incarnation_](
                          const workers::OrderReply& aReply) {
-    const auto entry = state_.runs_.find(aTask);
-    if (entry == state_.runs_.end() || entry->second.number_ != aRun) {
+    workers::Run* const run = workers::FindRun(state_, { aTask, aRun });
+    if (run == nullptr) {
       return;
     }
     if (aReply.status_ == workers::OrderStatus::kFenced && fence == fence_) {
@@ -245,7 +248,7 @@
       BeginIncarnation(0);
       PollSoon();
     } else if (aReply.status_ == workers::OrderStatus::kAccepted && incarnation == incarnation_) {
-      entry->second.stopConfirmedAt_ = std::chrono::steady_clock::now();
+      run->stopConfirmedAt_ = std::chrono::steady_clock::now();
       PollSoon();
     } else {
       RetryStop(aTask, aRun);
@@ -258,8 +261,7 @@
 Worker::RetryStop(const jobs::TaskId& aTask, std::int64_t aRun)
 {
   QTimer::singleShot(kStopRetryDelay, this, [this, aTask, aRun] {
-    const auto entry = state_.runs_.find(aTask);
-    if (entry != state_.runs_.end() && entry->second.number_ == aRun) {
+    if (workers::FindRun(state_, { aTask, aRun }) != nullptr) {
       SendStop(aTask, aRun);
     }
   });
@@ -327,7 +329,8 @@
   const clock::Moment now = std::chrono::steady_clock::now();
   // If the cell may have another owner, that owner may have renewed the lease.
   const bool isOwner = sinceLeaseLapse_() == clock::Milliseconds(0);
-  if (unresponsive_ && isOwner && !state_.runs_.empty() && workers::HasLeaseLapsed(state_, now)) {
+  if (unresponsive_ && isOwner && workers::HasRuns(state_) &&
+      workers::HasLeaseLapsed(state_, now)) {
     log::Warn("worker",
               "event=lease-lapsed worker=",
               registration_.id_,
@@ -357,7 +360,7 @@
   order.acknowledgeUpTo_ =
     unresponsive_ || mayHaveRestarted_ || recorded <= state_.lastAcknowledgedEnd_ ? 0 : recorded;
   const bool mayRenew = sinceLeaseLapse_() < kLeaseLapseGrace;
-  if (state_.clock_ && !state_.runs_.empty() && !unresponsive_ && mayRenew) {
+  if (state_.clock_ && workers::HasRuns(state_) && !unresponsive_ && mayRenew) {
     order.leaseEndMs_ =
       workers::ClockAt(state_, now) + static_cast<std::int64_t>(times_.lease_.count());
     state_.leaseEndMs_ = std::max(state_.leaseEndMs_, *order.leaseEndMs_);
@@ -412,11 +415,11 @@
   // A run that is in neither list may be among the ends that are not listed yet.
   synchronized_ = synchronized_ || !aStatus.mayHaveMoreEnds_;
   ReadEnds(aStatus.ended_);
-  const std::set<jobs::TaskId> running = ReadRunning(aStatus.running_);
+  const std::set<workers::RunKey> running = ReadRunning(aStatus.running_);
   if (!aStatus.mayHaveMoreEnds_) {
     CheckMissingRuns(running, aPoll);
   }
-  const bool idle = state_.runs_.empty() && aStatus.ended_.empty();
+  const bool idle = !workers::HasRuns(state_) && aStatus.ended_.empty();
   if (!state_.unrecordedEnds_.empty()) {
     SchedulePoll(kRecordDelay);
   } else {
@@ -536,42 +539,43 @@
   }
 }
 
-std::set<jobs::TaskId>
+std::set<workers::RunKey>
 Worker::ReadRunning(const std::vector<workers::RunningTask>& aRunning)
 {
-  std::set<jobs::TaskId> seen;
+  std::set<workers::RunKey> seen;
   for (const workers::RunningTask& running : aRunning) {
-    const auto entry = state_.runs_.find(running.task_);
-    if (entry == state_.runs_.end() || entry->second.number_ != running.run_) {
+    const workers::RunKey key{ running.task_, running.run_ };
+    workers::Run* const run = workers::FindRun(state_, key);
+    if (run == nullptr) {
       Q_EMIT UnknownRunFound(running);
       continue;
     }
-    seen.insert(running.task_);
-    entry->second.confirmed_ = true;
-    entry->second.measurement_ = running.measurement_;
-    entry->second.progressPercent_ = running.progressPercent_;
-    if (entry->second.state_ == workers::RunState::kUnconfirmed ||
-        entry->second.state_ == workers::RunState::kOrdered) {
-      entry->second.state_ = workers::RunState::kRunning;
-      entry->second.answeredAt_ = std::chrono::steady_clock::now();
+    seen.insert(key);
+    run->confirmed_ = true;
+    run->measurement_ = running.measurement_;
+    run->progressPercent_ = running.progressPercent_;
+    if (run->state_ == workers::RunState::kUnconfirmed ||
+        run->state_ == workers::RunState::kOrdered) {
+      run->state_ = workers::RunState::kRunning;
+      run->answeredAt_ = std::chrono::steady_clock::now();
     }
   }
   return seen;
 }
 
 void
-Worker::CheckMissingRuns(const std::set<jobs::TaskId>& aSeen, const SentPoll& aPoll)
+Worker::CheckMissingRuns(const std::set<workers::RunKey>& aSeen, const SentPoll& aPoll)
 {
   std::vector<std::pair<jobs::TaskId, std::int64_t>> missing;
   std::vector<std::pair<jobs::TaskId, std::int64_t>> toStop;
   const clock::Moment never{};
   for (auto& [task, run] : state_.runs_) {
     const bool rejected = workers::IsRejectedBy(run, aPoll.fence_);
-    if (aSeen.contains(task) || (run.state_ == workers::RunState::kOrdered && !rejected)) {
+    if (aSeen.contains({ task, run.number_ }) ||
+        (run.state_ == workers::RunState::kOrdered && !rejected)) {
       continue;
     }
-    const bool stopConfirmed =
-      run.stopConfirmedAt_ != never && run.stopConfirmedAt_ < aPoll.sentAt_;
+    const bool stopConfirmed = workers::IsStopConfirmed(run, aPoll.sentAt_);
     const bool answered = run.answeredAt_ != never && run.answeredAt_ < aPoll.sentAt_;
     if (rejected || stopConfirmed || (run.state_ == workers::RunState::kRunning && answered)) {
       missing.emplace_back(task, run.number_);
@@ -580,6 +584,7 @@
       toStop.emplace_back(task, run.number_);
     }
   }
+  RemoveMissingOrphans(aSeen, aPoll.sentAt_);
   for (const auto& [task, run] : missing) {
     workers::RemoveRun(state_, task, run);
     Q_EMIT StartFailed(task, run, workers::OrderStatus::kNoAnswer);
@@ -589,4 +594,18 @@
   }
 }
 
+void
+Worker::RemoveMissingOrphans(const std::set<workers::RunKey>& aSeen, clock::Moment aPolledAt)
+{
+  std::vector<workers::RunKey> missing;
+  for (const auto& [key, orphan] : state_.orphans_) {
+    if (!aSeen.contains(key) && workers::IsStopConfirmed(orphan, aPolledAt)) {
+      missing.push_back(key);
+    }
+  }
+  for (const workers::RunKey& key : missing) {
+    workers::RemoveRun(state_, key.task_, key.number_);
+  }
+}
+
 } // namespace quetzal::cells
--- a/src/workers/WorkerState.cpp
+++ b/src/workers/WorkerState.cpp
@@ -39,9 +39,40 @@
   AddToTotals(aState, aRunToAdd, 1);
 }
 
+bool
+AddOrphan(WorkerState& aState, const jobs::TaskId& aTask, const Run& aOrphan)
+{
+  const bool added = aState.orphans_.emplace(RunKey{ aTask, aOrphan.number_ }, aOrphan).second;
+  if (added) {
+    AddToTotals(aState, aOrphan, 1);
+  }
+  return added;
+}
+
+Run*
+FindRun(WorkerState& aState, const RunKey& aKey)
+{
+  const auto run = aState.runs_.find(aKey.task_);
+  if (run != aState.runs_.end() && run->second.number_ == aKey.number_) {
+    return &run->second;
+  }
+  const auto orphan = aState.orphans_.find(aKey);
+  return orphan == aState.orphans_.end() ? nullptr : &orphan->second;
+}
+
+bool
+HasRuns(const WorkerState& aState)
+{
+  return !aState.runs_.empty() || !aState.orphans_.empty();
+}
+
 bool
 RemoveRun(WorkerState& aState, const jobs::TaskId& aTask, std::int64_t aRun)
 {
+  if (const auto orphan = aState.orphans_.extract({ aTask, aRun }); !orphan.empty()) {
+    AddToTotals(aState, orphan.mapped(), -1);
+    return true;
+  }
   const auto entry = aState.runs_.find(aTask);
   if (entry == aState.runs_.end() || entry->second.number_ != aRun) {
     return false;
@@ -56,6 +87,7 @@
 {
   std::map<jobs::TaskId, Run> runs;
   runs.swap(aState.runs_);
+  aState.orphans_.clear();
   aState.used_ = {};
   aState.counts_ = {};
   return runs;
@@ -73,6 +105,10 @@
   for (const auto& [task, run] : confirmed) {
     RemoveRun(aState, task, run.number_);
   }
+  for (const auto& [key, orphan] : aState.orphans_) {
+    AddToTotals(aState, orphan, -1);
+  }
+  aState.orphans_.clear();
   return confirmed;
 }
 
@@ -82,6 +118,12 @@
   return !aRun.confirmed_ && aRun.fence_ < aFence;
 }
 
+bool
+IsStopConfirmed(const Run& aRun, clock::Moment aBefore)
+{
+  return aRun.stopConfirmedAt_ != clock::Moment{} && aRun.stopConfirmedAt_ < aBefore;
+}
+
 std::int64_t
 ClockAt(const WorkerState& aState, clock::Moment aNow)
 {
--- a/tests/unit/WorkerStateTest.cpp
+++ b/tests/unit/WorkerStateTest.cpp
@@ -93,6 +93,50 @@
   BOOST_TEST(!IsRejectedBy(run, 6));
 }
 
+BOOST_AUTO_TEST_CASE(Orphan_BesideAKnownRun_UsesCapacityUntilItIsRemoved)
+{
+  WorkerState state;
+  AddRun(state, task_, MakeRun(3, 700));
+  BOOST_TEST(AddOrphan(state, task_, MakeRun(1, 500)));
+  BOOST_TEST(AddOrphan(state, task_, MakeRun(2, 400)));
+  BOOST_TEST(!AddOrphan(state, task_, MakeRun(2, 400)));
+  BOOST_TEST(state.used_.cpu_ == 1'600);
+  BOOST_TEST(RemoveRun(state, task_, 2));
+  BOOST_TEST(!RemoveRun(state, task_, 2));
+  BOOST_TEST(state.used_.cpu_ == 1'200);
+  BOOST_TEST(RemoveRun(state, task_, 3));
+  BOOST_TEST(HasRuns(state));
+  BOOST_TEST(RemoveRun(state, task_, 1));
+  BOOST_TEST(!HasRuns(state));
+  BOOST_TEST((state.used_ == Capacity{}));
+}
+
+BOOST_AUTO_TEST_CASE(Orphan_KnownRunIsReplaced_IsKept)
+{
+  WorkerState state;
+  AddOrphan(state, task_, MakeRun(1, 500));
+  AddRun(state, task_, MakeRun(2, 700));
+  AddRun(state, task_, MakeRun(3, 600));
+  BOOST_TEST(state.used_.cpu_ == 1'100);
+  BOOST_REQUIRE(FindRun(state, { task_, 1 }) != nullptr);
+  BOOST_TEST(FindRun(state, { task_, 1 })->need_.cpu_ == 500);
+  BOOST_TEST(FindRun(state, { task_, 2 }) == nullptr);
+  BOOST_TEST(FindRun(state, { task_, 3 })->need_.cpu_ == 600);
+}
+
+BOOST_AUTO_TEST_CASE(Orphan_IncarnationEnds_IsRemovedWithItsCapacity)
+{
+  WorkerState state;
+  AddRun(state, task_, MakeRun(2, 700)); // Its order has no answer.
+  AddOrphan(state, task_, MakeRun(1, 500));
+  BOOST_TEST(TakeConfirmedRuns(state).empty());
+  BOOST_TEST(state.used_.cpu_ == 700);
+  AddOrphan(state, task_, MakeRun(1, 500));
+  BOOST_TEST(TakeRuns(state).size() == 1);
+  BOOST_TEST(!HasRuns(state));
+  BOOST_TEST((state.used_ == Capacity{}));
+}
+
 BOOST_AUTO_TEST_CASE(Lease_WorkerClockIsSlow_LapsesOnceThatClockHasPassedItsEnd)
 {
   WorkerState state;
