A task is not started while an orphan of it is being stopped

Its known run fails or ends, and the task is started again, on any worker, though a run of it that its owner stops as unknown has not ended.

Cause: the placement knew only a task's known runs.

Change: each placement round collects the tasks that have orphans from the workers' states, and leaves them waiting; a gang waits if one of its members has an orphan, and no copy is started beside one. Nothing is kept between rounds, so an orphan that ends, or whose worker starts again, is terminated or given up, or whose lease lapses, holds up nothing any more.

Evidence: before, seven of the eight CellOrphans/Placement_* cases failed: the task, the gang or the copy was started beside the orphan. All eight pass now.

Conclusion: shown on workers in memory only.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -212,6 +212,7 @@
   void EndRound();
   std::vector<WaitingJob> WaitingJobs(clock::Moment aNow);
   std::vector<placement::Candidate> Candidates(std::vector<WorkerEntry*>& aEntries) const;
+  std::set<jobs::TaskId> OrphanedTasks() const;
 
   /** One placement round: the workers as they become fuller. */
   struct Round
@@ -219,8 +220,11 @@
     clock::Moment now_{};
     std::vector<placement::Candidate> candidates_;
     std::vector<WorkerEntry*> entries_; ///< Of each candidate.
-    int failedSearches_ = 0;            ///< Searches of all candidates that found none for a task.
-    int unplacedJobs_ = 0;              ///< In a row.
+    /** Tasks with a run that is being stopped as an orphan: they are not started anywhere until it
+     * has ended. */
+    std::set<jobs::TaskId> orphaned_;
+    int failedSearches_ = 0; ///< Searches of all candidates that found none for a task.
+    int unplacedJobs_ = 0;   ///< In a row.
   };
 
   /** What rounds have found since the last one that came to the end of the waiting jobs. */
@@ -230,6 +234,9 @@
     std::set<std::string> triedJobs_; ///< Jobs with a task for which no worker was found.
   };
 
+  static bool MayStart(const jobs::TaskState& aState,
+                       const jobs::TaskId& aTask,
+                       const Round& aRound);
   bool PlaceJob(jobs::Job& aJob, Round& aRound);
   int PlaceStep(jobs::Job& aJob, int aOccurrence, int aStep, Round& aRound);
   bool PlaceGang(jobs::Job& aJob, int aOccurrence, int aStep, Round& aRound);
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -131,6 +131,25 @@
   return candidates;
 }
 
+std::set<jobs::TaskId>
+Cell::OrphanedTasks() const
+{
+  std::set<jobs::TaskId> tasks;
+  for (const auto& [id, entry] : workers_) {
+    for (const auto& [key, orphan] : entry.worker_->State().orphans_) {
+      tasks.insert(key.task_);
+    }
+  }
+  return tasks;
+}
+
+bool
+Cell::MayStart(const jobs::TaskState& aState, const jobs::TaskId& aTask, const Round& aRound)
+{
+  return aState.phase_ == jobs::TaskPhase::kWaiting && aState.notBefore_ <= aRound.now_ &&
+         !aRound.orphaned_.contains(aTask);
+}
+
 void
 Cell::PlaceTasks()
 {
@@ -146,6 +165,7 @@
   }
   Round round;
   round.now_ = now;
+  round.orphaned_ = OrphanedTasks();
   round.candidates_ = Candidates(round.entries_);
   if (round.candidates_.empty()) {
     return;
@@ -263,9 +283,10 @@
   }
   int placed = 0;
   std::optional<std::size_t> chosen;
+  jobs::TaskId id{ aJob.id_, aOccurrence, aStep, 0 };
   for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
-    const jobs::TaskState& task = tasks[static_cast<std::size_t>(i)];
-    if (task.phase_ != jobs::TaskPhase::kWaiting || task.notBefore_ > aRound.now_) {
+    id.index_ = i;
+    if (!MayStart(tasks[static_cast<std::size_t>(i)], id, aRound)) {
       continue;
     }
     if (startsLeft_ <= 0) {
@@ -278,7 +299,7 @@
     }
     placement::Reserve(aRound.candidates_[*chosen], spec);
     ++use.taskCounts_[*chosen];
-    StartTask(aJob, { aJob.id_, aOccurrence, aStep, i }, nextRun_++, *aRound.entries_[*chosen]);
+    StartTask(aJob, id, nextRun_++, *aRound.entries_[*chosen]);
     ++placed;
   }
   if (needsTicket && aJob.waitingTasks_ > 0) {
@@ -293,9 +314,11 @@
   const jobs::StepSpec& spec = aJob.spec_.steps_.at(static_cast<std::size_t>(aStep));
   const auto& tasks =
     aJob.liveOccurrences_.at(aOccurrence).steps_.at(static_cast<std::size_t>(aStep)).tasks_;
+  jobs::TaskId member{ aJob.id_, aOccurrence, aStep, -1 };
   const bool ready =
-    std::all_of(tasks.begin(), tasks.end(), [&aRound](const jobs::TaskState& aTask) {
-      return aTask.phase_ == jobs::TaskPhase::kWaiting && aTask.notBefore_ <= aRound.now_;
+    std::all_of(tasks.begin(), tasks.end(), [&member, &aRound](const jobs::TaskState& aTask) {
+      ++member.index_;
+      return MayStart(aTask, member, aRound);
     });
   if (!ready || startsLeft_ <= 0) {
     return false;
@@ -446,6 +469,9 @@
       continue;
     }
     const jobs::TaskId id{ aJob.id_, aOccurrence, aStep, i };
+    if (aRound.orphaned_.contains(id)) {
+      continue;
+    }
     placement::StepUse use = UseOf(spec, step.tasks_, aRound.candidates_);
     for (const placement::Candidate& candidate : aRound.candidates_) {
       use.excluded_.push_back(candidate.id_ == task.worker_ ||
--- a/tests/unit/CellOrphansTest.cpp
+++ b/tests/unit/CellOrphansTest.cpp
@@ -133,6 +133,52 @@
                          times_, [this] { return sinceLeaseLapse_; },      nullptr };
 };
 
+/** A job of two tasks. The first runs on w1, and an orphan of it on w2, beside the second, until
+ * the test ends it. */
+struct OrphanCellFixture : CellFixture
+{
+  OrphanCellFixture()
+  {
+    times_.lease_ = 5'000ms;
+    w2_.endsAtStop_ = false;
+  }
+
+  std::unique_ptr<Cell> CellWithOrphan(jobs::JobSpec aSpec)
+  {
+    aSpec.steps_[0].maxPerWorker_ = 1;
+    auto cell = TakeOver("n1");
+    Submit(*cell, "job1", aSpec);
+    BOOST_TEST(WaitForRun(w1_, first_));
+    BOOST_TEST(WaitForRun(w2_, second_));
+    w2_.running_[first_] = { kOrphan };
+    BOOST_TEST(RunUntil([this] { return w2_.highestEndedRuns_.contains(first_); }));
+    return cell;
+  }
+
+  /** Returns whether a run of the first task starts within a time. */
+  bool StartsWithin(std::chrono::milliseconds aTime)
+  {
+    const auto before = StartsOfFirst();
+    return RunUntil([&] { return StartsOfFirst() > before; }, aTime.count());
+  }
+
+  std::ptrdiff_t StartsOfFirst() const
+  {
+    std::ptrdiff_t starts = 0;
+    for (const FakeWorker* worker : { &w1_, &w2_ }) {
+      starts += std::count_if(worker->starts_.begin(),
+                              worker->starts_.end(),
+                              [this](const auto& aStart) { return aStart.first == first_; });
+    }
+    return starts;
+  }
+
+  static constexpr std::int64_t kOrphan = 7;
+  const jobs::TaskId second_{ "job1", 0, 0, 1 };
+  FakeWorker& w1_ = AddWorker("w1");
+  FakeWorker& w2_ = AddWorker("w2");
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(CellOrphans)
@@ -220,4 +266,89 @@
   BOOST_TEST(UsedCpu() == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(Placement_OtherRunFails_WaitsForTheEndOfTheOrphan, OrphanCellFixture)
+{
+  const auto cell = CellWithOrphan(Spec(2));
+  w1_.End(first_, jobs::EndKind::kFailed);
+  BOOST_TEST(!StartsWithin(500ms));
+  w2_.End(first_, jobs::EndKind::kStopped);
+  BOOST_TEST(StartsWithin(3'000ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(Placement_OtherRunOfLongRunningTaskFails_WaitsForTheEndOfTheOrphan,
+                        OrphanCellFixture)
+{
+  const auto cell = CellWithOrphan(Spec(2, true));
+  w1_.End(first_, jobs::EndKind::kFailed);
+  BOOST_TEST(!StartsWithin(500ms));
+  w2_.End(first_, jobs::EndKind::kStopped);
+  BOOST_TEST(StartsWithin(3'000ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(Placement_MemberOfGangHasOrphan_WholeGangWaits, OrphanCellFixture)
+{
+  jobs::JobSpec spec = Spec(2);
+  spec.steps_[0].gang_ = true;
+  const auto cell = CellWithOrphan(spec);
+  w1_.End(first_, jobs::EndKind::kFailed);
+  w2_.End(second_, jobs::EndKind::kGangBroken);
+  BOOST_TEST(!RunUntil([this] { return fleet_.RunsOf(second_) > 0; }, 500));
+  BOOST_TEST(StartsOfFirst() == 1);
+  w2_.End(first_, jobs::EndKind::kStopped);
+  BOOST_TEST(StartsWithin(3'000ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(Placement_BothRunsOfSpeculativeTaskFail_WaitsForTheEndOfTheOrphan,
+                        OrphanCellFixture)
+{
+  FakeWorker& w3 = AddWorker("w3");
+  jobs::JobSpec spec = Spec(2);
+  spec.steps_[0].speculative_ = true;
+  const auto cell = CellWithOrphan(spec);
+  BOOST_TEST(!RunUntil([&] { return w3.running_.contains(first_); }, 800));
+  w1_.End(first_, jobs::EndKind::kFailed);
+  BOOST_TEST(!StartsWithin(500ms));
+  w2_.End(first_, jobs::EndKind::kStopped);
+  BOOST_TEST(
+    RunUntil([&] { return w1_.running_.contains(first_) || w3.running_.contains(first_); }, 3'000));
+}
+
+BOOST_FIXTURE_TEST_CASE(Placement_WorkerOfTheOrphanStartsAgain_GoesOn, OrphanCellFixture)
+{
+  const auto cell = CellWithOrphan(Spec(2));
+  w1_.End(first_, jobs::EndKind::kFailed);
+  BOOST_TEST(!StartsWithin(300ms));
+  w2_.Reboot();
+  BOOST_TEST(StartsWithin(3'000ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(Placement_WorkerOfTheOrphanIsTerminated_GoesOn, OrphanCellFixture)
+{
+  const auto cell = CellWithOrphan(Spec(2));
+  w1_.End(first_, jobs::EndKind::kFailed);
+  w2_.reachable_ = false;
+  BOOST_TEST(!StartsWithin(300ms));
+  cell->MarkTerminated({ "w2" });
+  BOOST_TEST(StartsWithin(3'000ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(Placement_LeaseOfTheOrphanLapses_GoesOn, OrphanCellFixture)
+{
+  times_.lease_ = 1'000ms;
+  const auto cell = CellWithOrphan(Spec(2));
+  w1_.End(first_, jobs::EndKind::kFailed);
+  w2_.reachable_ = false;
+  BOOST_TEST(!StartsWithin(500ms));
+  BOOST_TEST(StartsWithin(5'000ms));
+  BOOST_TEST(w2_.leaseEndMs_ < w2_.ClockMs());
+}
+
+BOOST_FIXTURE_TEST_CASE(Placement_OrphanIsDone_TaskIsNotStartedAgain, OrphanCellFixture)
+{
+  const auto cell = CellWithOrphan(Spec(2));
+  w2_.End(first_, jobs::EndKind::kDone);
+  BOOST_TEST(RunUntil([this] { return !w1_.running_.contains(first_); }, 3'000));
+  BOOST_TEST(!StartsWithin(300ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
