Tickets' validity counts from when their request is sent, one at a time

From about the sixteenth on, each answer of the advice service was discarded as expired and asked for again.

Cause: a ticket's validity counted from when its request was handed to the client, which has one connection and keeps the other requests waiting. Once more of them waited than are handled in one validity, every answer came too late and was asked for again at the end of that queue.

Change: a cell sends one request at a time and counts the validity from that moment; the service decides later, so that no ticket is used beyond its validity. Requests wait in the order of placement, and a step whose tickets expired unused goes behind those that wait.

Conclusion: the fault is reproduced and mended in the unit test.

--- a/src/cells/PlacementTickets.cpp
+++ b/src/cells/PlacementTickets.cpp
@@ -1,5 +1,6 @@
 #include "include/quetzal/cells/PlacementTickets.h"
 
+#include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
 
 #include <QtCore/QPointer>
@@ -30,60 +31,117 @@
   return &step->second.tickets_;
 }
 
+std::vector<std::string>
+PlacementTickets::WorkersToRequest(const StepTickets& aStepTickets, clock::Moment aNow)
+{
+  const bool expired = aStepTickets.expiresAt_ < aNow;
+  std::vector<std::string> named;
+  for (const std::string& worker : aStepTickets.wantedWorkers_) {
+    if (named.size() == workers::kMaxAdviceWorkers) {
+      break;
+    }
+    if (expired || !aStepTickets.requestedWorkers_.contains(worker)) {
+      named.push_back(worker);
+    }
+  }
+  return named;
+}
+
 void
 PlacementTickets::Request(const std::string& aStep,
                           const std::vector<std::string>& aWorkers,
                           clock::Moment aNow)
 {
-  StepTickets& entry = steps_[aStep];
-  if (port_ == nullptr || entry.requestPending_ || aNow < entry.retryAt_) {
+  if (port_ == nullptr) {
     return;
   }
-  if (entry.expiresAt_ < aNow) {
-    entry.requestedWorkers_.clear();
-    entry.tickets_.clear();
+  StepTickets& entry = steps_[aStep];
+  entry.wantedWorkers_ = aWorkers;
+  if (!entry.requestPending_ && !WorkersToRequest(entry, aNow).empty()) {
+    entry.requestPending_ = true;
+    queue_.push_back(aStep);
   }
-  std::vector<std::string> requested;
-  for (const std::string& worker : aWorkers) {
-    if (!entry.requestedWorkers_.contains(worker) &&
-        requested.size() < workers::kMaxAdviceWorkers) {
-      requested.push_back(worker);
+  SendNext();
+}
+
+void
+PlacementTickets::SendNext()
+{
+  const clock::Moment now = clock::Now();
+  while (!callOpen_ && now >= retryAt_ && !queue_.empty()) {
+    const std::string step = std::move(queue_.front());
+    queue_.pop_front();
+    const auto found = steps_.find(step);
+    if (found == steps_.end()) {
+      continue; // The job has ended in the meantime.
     }
+    const std::vector<std::string> workers = WorkersToRequest(found->second, now);
+    if (workers.empty()) {
+      found->second.requestPending_ = false;
+      continue;
+    }
+    if (found->second.expiresAt_ < now) {
+      found->second.requestedWorkers_.clear();
+      found->second.tickets_.clear();
+    }
+    Send(step, workers, now);
   }
-  if (requested.empty()) {
-    return;
-  }
-  entry.requestPending_ = true;
-  log::Info("tickets", "event=tickets-asked step=", aStep, " workers=", requested.size());
+}
+
+void
+PlacementTickets::Send(const std::string& aStep,
+                       const std::vector<std::string>& aWorkers,
+                       clock::Moment aNow)
+{
+  callOpen_ = true;
+  log::Info("tickets",
+            "event=tickets-asked step=",
+            aStep,
+            " workers=",
+            aWorkers.size(),
+            " waiting=",
+            queue_.size());
   const QPointer<PlacementTickets> self(this);
   port_->Request(
-    aStep, requested, [self, aStep, aNow, requested](const workers::PlacementAdvice& aAdvice) {
-      if (!self) {
-        return;
-      }
-      const auto found = self->steps_.find(aStep);
-      if (found == self->steps_.end()) {
-        return; // The job has ended in the meantime.
-      }
-      found->second.requestPending_ = false;
-      if (aAdvice.answered_) {
-        AddAdvice(found->second, requested, aAdvice, aNow);
-      } else {
-        log::Warn("tickets", "event=tickets-not-answered step=", aStep);
-        found->second.retryAt_ = std::chrono::steady_clock::now() + kRetryDelay;
-        QTimer::singleShot(kRetryDelay, self, &PlacementTickets::Answered);
+    aStep, aWorkers, [self, aStep, aNow, aWorkers](const workers::PlacementAdvice& aAdvice) {
+      if (self) {
+        self->OnAnswer(aStep, aWorkers, aNow, aAdvice);
       }
-      Q_EMIT self->Answered();
     });
 }
 
+void
+PlacementTickets::OnAnswer(const std::string& aStep,
+                           const std::vector<std::string>& aRequested,
+                           clock::Moment aSentAt,
+                           const workers::PlacementAdvice& aAdvice)
+{
+  callOpen_ = false;
+  if (const auto found = steps_.find(aStep); found != steps_.end()) {
+    found->second.requestPending_ = false;
+    if (aAdvice.answered_) {
+      AddAdvice(found->second, aRequested, aAdvice, aSentAt);
+    }
+  }
+  if (!aAdvice.answered_) {
+    log::Warn("tickets", "event=tickets-not-answered step=", aStep);
+    retryAt_ = clock::Now() + kRetryDelay;
+    QTimer::singleShot(kRetryDelay, this, [this] {
+      SendNext();
+      Q_EMIT Answered();
+    });
+  }
+  SendNext();
+  Q_EMIT Answered();
+}
+
 void
 PlacementTickets::AddAdvice(StepTickets& aStepTickets,
                             const std::vector<std::string>& aRequested,
                             const workers::PlacementAdvice& aAdvice,
-                            clock::Moment aAskedAt)
+                            clock::Moment aSentAt)
 {
-  const clock::Moment expires = aAskedAt + aAdvice.validity_;
+  const clock::Moment expires = aSentAt + aAdvice.validity_;
   aStepTickets.expiresAt_ =
     aStepTickets.requestedWorkers_.empty() ? expires : std::min(aStepTickets.expiresAt_, expires);
   aStepTickets.requestedWorkers_.insert(aRequested.begin(), aRequested.end());
--- a/tests/unit/CellAdviceTest.cpp
+++ b/tests/unit/CellAdviceTest.cpp
@@ -1,5 +1,9 @@
 #include "tests/unit/CellFixture.h"
 
+#include <QtCore/QTimer>
+#include <algorithm>
+#include <deque>
+
 namespace {
 
 using namespace quetzal;
@@ -22,6 +26,80 @@
   std::unique_ptr<Cell> cell_;
 };
 
+/** An advice service that handles one call at a time, in turn. */
+class SerialAdvice
+  : public QObject
+  , public FakeAdvice
+{
+public:
+  void Request(const std::string& aStep,
+               const std::vector<std::string>& aWorkers,
+               std::function<void(const workers::PlacementAdvice&)> aDone) override
+  {
+    calls_.push_back({ aStep, aWorkers, std::move(aDone) });
+    mostCalls_ = std::max(mostCalls_, calls_.size());
+    if (calls_.size() == 1) {
+      HandleFirst();
+    }
+  }
+
+  std::chrono::milliseconds decisionTime_{ 20 };
+  std::chrono::milliseconds timePerWorker_{ 2 };
+  std::size_t mostCalls_ = 0;                      ///< The most calls that were open at once.
+  std::map<std::string, clock::Moment> decidedAt_; ///< Of the last answer, by step.
+
+private:
+  struct Call
+  {
+    std::string step_;
+    std::vector<std::string> workers_;
+    std::function<void(const workers::PlacementAdvice&)> done_;
+  };
+
+  void HandleFirst()
+  {
+    const auto time = decisionTime_ + timePerWorker_ * calls_.front().workers_.size();
+    QTimer::singleShot(time, Qt::PreciseTimer, this, [this] {
+      const Call call = std::move(calls_.front());
+      calls_.pop_front();
+      decidedAt_[call.step_] = clock::Now();
+      FakeAdvice::Request(call.step_, call.workers_, call.done_);
+      if (!calls_.empty()) {
+        HandleFirst();
+      }
+    });
+  }
+
+  std::deque<Call> calls_;
+};
+
+/** The same workers, with advice that takes its time and permits "w2" until it expires. */
+struct SerialAdviceFixture : AdviceFixture
+{
+  SerialAdviceFixture()
+  {
+    serial_.permitted_ = { "w2" };
+    serial_.validity_ = 200ms;
+    advicePort_ = &serial_;
+    cell_ = TakeOver("b");
+    worker_.onStart_ = [this](const jobs::TaskId& aTask) {
+      const std::string step = jobs::StepName(aTask.job_, aTask.occurrence_, aTask.step_);
+      expiredStarts_ += clock::Now() - serial_.decidedAt_.at(step) > serial_.validity_ ? 1 : 0;
+    };
+  }
+
+  void SubmitMany(const std::string& aPrefix, int aJobs, const jobs::JobSpec& aSpec)
+  {
+    for (int i = 0; i < aJobs; ++i) {
+      Submit(*cell_, aPrefix + std::to_string(i), aSpec);
+    }
+  }
+
+  SerialAdvice serial_;
+  FakeWorker& worker_ = fleet_.At("w2");
+  int expiredStarts_ = 0; ///< Starts with a ticket that had expired.
+};
+
 BOOST_FIXTURE_TEST_SUITE(CellAdvice, AdviceFixture)
 
 BOOST_AUTO_TEST_CASE(Step_OneWorkerIsPermitted_RunsThereAfterOneRequest)
@@ -85,6 +163,37 @@
   BOOST_TEST(advice_.requests_.back().second.size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(Burst_AdviceTakesLongerThanAValidity_EachJobStartsAfterOneRequest,
+                        SerialAdviceFixture)
+{
+  SubmitMany("job", 24, Spec(1));
+  BOOST_TEST(RunUntil([&] { return worker_.starts_.size() == 24; }, 8'000));
+  BOOST_TEST(serial_.requests_.size() == 24U);
+  BOOST_TEST(serial_.mostCalls_ == 1U);
+  BOOST_TEST(expiredStarts_ == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(Tickets_ExpireUnusedBecauseNothingHasRoom_LaterJobsGetTheirs,
+                        SerialAdviceFixture)
+{
+  jobs::JobSpec tooLarge = Spec(1);
+  tooLarge.steps_[0].cpu_ = 64'000;
+  SubmitMany("large", 15, tooLarge);
+  RunFor(300ms);
+  SubmitMany("job", 2, Spec(1));
+  BOOST_TEST(RunUntil([&] { return worker_.starts_.size() == 2; }, 8'000));
+  BOOST_TEST(expiredStarts_ == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(Job_CancelledWhileItsRequestIsOpen_LaterJobsGetTickets, SerialAdviceFixture)
+{
+  Submit(*cell_, "job0", Spec(1));
+  BOOST_TEST(RunUntil([&] { return serial_.mostCalls_ == 1; }));
+  cell_->Cancel("job0", [](const Answer& /*aAnswer*/) {});
+  Submit(*cell_, "job1", Spec(1));
+  BOOST_TEST(WaitForRun(worker_, first_));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/unit/CellFixture.h
+++ b/tests/unit/CellFixture.h
@@ -59,7 +59,7 @@
     context.platformState_ = &platformState_;
     context.makeWorker_ = fleet_.Factory();
     context.metrics_ = &metrics_;
-    context.advice_ = &advice_;
+    context.advice_ = advicePort_;
     context.times_ = times_;
     context.sinceLeaseLapse_ = [this] { return sinceLeaseLapse_; };
     return std::make_unique<Cell>(
@@ -159,6 +159,7 @@
   FakePlatformState platformState_;
   FakeFleet fleet_;
   FakeAdvice advice_;
+  workers::PlacementAdvicePort* advicePort_ = &advice_; ///< Of the cells taken over from now on.
   metrics::Registry metrics_;
   clock::Milliseconds sinceLeaseLapse_{ 0 };
   LeaseTimes times_{ std::chrono::milliseconds(400), std::chrono::milliseconds(200) };
