Gangs on a queue with advice are placed with tickets

Cause: PlaceStep placed a gang before it came to the tickets, so that none were requested, and every worker rejected the orders.

Change: tickets are looked for first, whichever way a step is placed. A gang is placed among the workers with a ticket only, or waits; workers that register later are asked about.

Conclusion: reproduced and mended in the unit test.

--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -68,6 +68,41 @@
   return use;
 }
 
+/** Returns which candidates a step cannot use, as they have no ticket for it. */
+std::vector<bool>
+WithoutTicket(const PlacementTickets::ByWorker& aTickets,
+              const std::vector<placement::Candidate>& aCandidates)
+{
+  std::vector<bool> excluded;
+  excluded.reserve(aCandidates.size());
+  for (const placement::Candidate& candidate : aCandidates) {
+    excluded.push_back(!aTickets.contains(std::string(candidate.id_)));
+  }
+  return excluded;
+}
+
+/** Returns a candidate with a ticket for every task of a gang, as placement::ChooseGang does. */
+std::vector<std::size_t>
+ChooseGangWithTickets(const jobs::StepSpec& aSpec,
+                      const std::vector<placement::Candidate>& aCandidates,
+                      const PlacementTickets::ByWorker& aTickets)
+{
+  const std::vector<bool> excluded = WithoutTicket(aTickets, aCandidates);
+  std::vector<placement::Candidate> permitted;
+  std::vector<std::size_t> indexes; // Of each permitted candidate, among all.
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    if (!excluded[i]) {
+      permitted.push_back(aCandidates[i]);
+      indexes.push_back(i);
+    }
+  }
+  std::vector<std::size_t> chosen = placement::ChooseGang(aSpec, permitted);
+  for (std::size_t& index : chosen) {
+    index = indexes[index];
+  }
+  return chosen;
+}
+
 } // namespace
 
 void
@@ -262,24 +297,27 @@
     aJob.waitReason_ = jobs::WaitReason::kNoRoom;
     return 0;
   }
+  const std::string step = jobs::StepName(aJob.id_, aOccurrence, aStep);
+  const bool needsTicket = NeedsTicket(aJob);
+  const PlacementTickets::ByWorker* tickets =
+    needsTicket ? tickets_.Find(step, aRound.now_) : nullptr;
+  if (needsTicket && tickets == nullptr) {
+    aJob.waitReason_ = jobs::WaitReason::kNoTicket;
+    RequestTickets(step);
+    return 0;
+  }
   if (spec.gang_) {
-    return PlaceGang(aJob, aOccurrence, aStep, aRound) ? 1 : 0;
+    const bool isPlaced = PlaceGang(aJob, aOccurrence, aStep, aRound);
+    if (needsTicket && !isPlaced) {
+      RequestTickets(step); // For workers that have registered since the last request.
+    }
+    return isPlaced ? 1 : 0;
   }
   auto& tasks =
     aJob.liveOccurrences_.at(aOccurrence).steps_.at(static_cast<std::size_t>(aStep)).tasks_;
   placement::StepUse use = UseOf(spec, tasks, aRound.candidates_);
-  const std::string step = jobs::StepName(aJob.id_, aOccurrence, aStep);
-  const bool needsTicket = NeedsTicket(aJob);
-  if (needsTicket) {
-    const PlacementTickets::ByWorker* tickets = tickets_.Find(step, aRound.now_);
-    if (tickets == nullptr) {
-      aJob.waitReason_ = jobs::WaitReason::kNoTicket;
-      RequestTickets(step);
-      return 0;
-    }
-    for (const placement::Candidate& candidate : aRound.candidates_) {
-      use.excluded_.push_back(!tickets->contains(std::string(candidate.id_)));
-    }
+  if (tickets != nullptr) {
+    use.excluded_ = WithoutTicket(*tickets, aRound.candidates_);
   }
   int placed = 0;
   std::optional<std::size_t> chosen;
@@ -323,7 +361,12 @@
   if (!ready || startsLeft_ <= 0) {
     return false;
   }
-  const std::vector<std::size_t> chosen = placement::ChooseGang(spec, aRound.candidates_);
+  const PlacementTickets::ByWorker* tickets =
+    NeedsTicket(aJob) ? tickets_.Find(jobs::StepName(aJob.id_, aOccurrence, aStep), aRound.now_)
+                      : nullptr;
+  const std::vector<std::size_t> chosen =
+    tickets == nullptr ? placement::ChooseGang(spec, aRound.candidates_)
+                       : ChooseGangWithTickets(spec, aRound.candidates_, *tickets);
   if (chosen.empty()) {
     NoteFailedSearch(aJob, spec, false, aRound);
     return false;
--- a/tests/unit/CellAdviceTest.cpp
+++ b/tests/unit/CellAdviceTest.cpp
@@ -163,6 +163,34 @@
   BOOST_TEST(advice_.requests_.back().second.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(Gang_TwoWorkersArePermitted_RunsOnThemAfterOneRequest)
+{
+  advice_.permitted_ = { "w2", "w3" };
+  jobs::JobSpec spec = Spec(3);
+  spec.steps_[0].gang_ = true;
+  spec.steps_[0].cpu_ = 16'000;
+  Submit(*cell_, "job1", spec);
+  BOOST_TEST(RunUntil(
+    [&] { return fleet_.At("w2").running_.size() + fleet_.At("w3").running_.size() == 3; }, 5'000));
+  BOOST_TEST(advice_.requests_.size() == 1U);
+  BOOST_TEST(fleet_.At("w1").starts_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Gang_HasNoRoomOnPermittedWorkers_WaitsForOneThatRegisters)
+{
+  advice_.permitted_ = { "w2", "w4" };
+  jobs::JobSpec spec = Spec(3);
+  spec.steps_[0].gang_ = true;
+  spec.steps_[0].cpu_ = 16'000;
+  Submit(*cell_, "job1", spec);
+  RunFor(300ms);
+  BOOST_TEST(fleet_.At("w2").starts_.empty());
+  FakeWorker& late = AddWorker("w4");
+  late.wantsTicket_ = true;
+  BOOST_TEST(
+    RunUntil([&] { return fleet_.At("w2").running_.size() + late.running_.size() == 3; }, 5'000));
+}
+
 BOOST_FIXTURE_TEST_CASE(Burst_AdviceTakesLongerThanAValidity_EachJobStartsAfterOneRequest,
                         SerialAdviceFixture)
 {
