Tests: an order of an earlier ownership is rejected after a take-over

Cause: no test covered an owner that takes its own cell over while its order is on its way, with and without a restart of the worker under its id before the new ownership's first poll.

Change: two cases in CellOrphans. In both the worker has answered a poll under the new claim before the task is started, and rejects the order.

Conclusion: one case remains. If the worker starts again under its id after it has answered that poll, it has seen no fence, and the owner does not know the order.

--- a/tests/unit/CellOrphansTest.cpp
+++ b/tests/unit/CellOrphansTest.cpp
@@ -351,4 +351,36 @@
   BOOST_TEST(!StartsWithin(300ms));
 }
 
+BOOST_FIXTURE_TEST_CASE(TakeOver_ByTheSameOwnerWhileItsOrderIsLate_OrderIsRejected, CellFixture)
+{
+  FakeWorker& w1 = AddWorker("w1");
+  auto cell = TakeOver("n1");
+  w1.startFates_ = { OrderFate::kLate };
+  Submit(*cell, "job1", Spec(1));
+  BOOST_TEST(RunUntil([&] { return !w1.late_.empty(); }));
+  cell.reset();
+  cell = TakeOver("n1");
+  BOOST_TEST(WaitForRun(w1, first_));
+  w1.RunLate();
+  BOOST_TEST(w1.starts_.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(TakeOver_WorkerStartsAgainBeforeItsFirstPoll_LateOrderIsRejected,
+                        CellFixture)
+{
+  FakeWorker& w1 = AddWorker("w1");
+  auto cell = TakeOver("n1");
+  w1.startFates_ = { OrderFate::kLate };
+  Submit(*cell, "job1", Spec(1));
+  BOOST_TEST(RunUntil([&] { return !w1.late_.empty(); }));
+  cell.reset();
+  const auto late = w1.late_;
+  w1.Reboot();
+  w1.late_ = late; // The order names the worker's id, which is the same.
+  cell = TakeOver("n1");
+  BOOST_TEST(WaitForRun(w1, first_));
+  w1.RunLate();
+  BOOST_TEST(w1.starts_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
