--- a/tests/unit/WorkerRestartTest.cpp
+++ b/tests/unit/WorkerRestartTest.cpp
@@ -97,6 +97,19 @@
   CheckTaskRunsOnce();
 }
 
+BOOST_AUTO_TEST_CASE(Order_AnswerOvertakesThePollThatShowsTheRestart_TaskRunsOnceAtATime)
+{
+  // The poll has been carried out before the order, and its answer arrives after the order's.
+  worker_.transit_ = [](CallKind aKind) {
+    return aKind == CallKind::kStart ? Transit{ 30ms, 0ms } : Transit{ 0ms, 40ms };
+  };
+  RestartBeforeStart({});
+  AddWorker("w2").onStart_ = [this](const jobs::TaskId& /*aTask*/) { OnStart(); };
+  BOOST_TEST(WaitForRun(worker_, first_));
+  worker_.transit_ = nullptr;
+  CheckTaskRunsOnce();
+}
+
 BOOST_AUTO_TEST_CASE(Order_LostOverARestart_TaskRunsOnceAtATime)
 {
   Delay(CallKind::kStart, { { 45ms, 0ms } });
