An order that the next incarnation has answered does not end with the last

Cause: the fix before took each order with an answer for carried out by the incarnation that was known when the answer came. A poll and an order travel apart: the next incarnation may answer a poll, then carry the order out, and its answer may be read first.

Change: with a new incarnation only those runs end whose order was answered before the poll was sent that shows it; had the new one carried such an order out, its answer to the poll would list the run or its end. The others stay in doubt until the worker has answered under the raised fence. The end of an incarnation by another id at its address is a function of its own.

--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -168,7 +168,13 @@
   void SendStop(const jobs::TaskId& aTask, std::int64_t aRun);
   /** Sends a stop again after a delay, if the run is still known then. */
   void RetryStop(const jobs::TaskId& aTask, std::int64_t aRun);
-  void BeginIncarnation(std::int64_t aStartedMs);
+  /** @param aPolledAt when the poll was sent that showed the new incarnation. */
+  void BeginIncarnation(std::int64_t aStartedMs, clock::Moment aPolledAt);
+  /** Another id has answered at the worker's address. */
+  void EndIncarnation();
+  /** Drops all that holds for one incarnation only, but its runs. @param aStartedMs of the next
+   * incarnation; 0 if there is none yet. */
+  void ForgetIncarnation(std::int64_t aStartedMs);
   /** Sets the worker's clock from an answer under the present fence or an earlier one. */
   void ReadClock(std::int64_t aClockMs, std::int64_t aFence);
   void ReadEnds(const std::vector<workers::EndedTask>& aEnds);
--- a/include/quetzal/workers/WorkerState.h
+++ b/include/quetzal/workers/WorkerState.h
@@ -36,7 +36,7 @@
   int progressPercent_ = 0;         ///< As last reported; see RunningTask.
   int speedPercent_ = 100;          ///< Last speed limit sent, in per cent of full speed.
   std::int64_t fence_ = 0;          ///< Fence of the start order.
-  bool confirmed_ = false; ///< The worker has carried the start order out: it will not do so again.
+  bool confirmed_ = false; ///< The present incarnation is known to have carried the order out.
   /** Tail latency in ms of a latency-sensitive task; processor use in millicores of any other. */
   std::int64_t measurement_ = 0;
 };
@@ -113,11 +113,13 @@
 std::map<jobs::TaskId, Run>
 TakeRuns(WorkerState& aState);
 
-/** Removes and returns the runs that ended with a worker's incarnation because their start orders
- * were carried out by it. An order that has no answer may still be carried out by the next one.
- * Orphans are removed too, since the worker has listed them. */
+/** Removes and returns the runs that have ended with a worker's incarnation, and removes all
+ * orphans, which that incarnation had listed. The others stay, unconfirmed and with no confirmed
+ * stop: their orders may have been, or may still be, carried out by the next incarnation.
+ * @param aPolledAt when the poll was sent that showed the next incarnation. An order that was
+ * answered after it may have been answered by the next incarnation. */
 std::map<jobs::TaskId, Run>
-TakeConfirmedRuns(WorkerState& aState);
+TakeConfirmedRuns(WorkerState& aState, clock::Moment aPolledAt);
 
 /** Returns whether a run has not started, and can no longer start, on a worker that does not list
  * it.
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -182,7 +182,7 @@
       PollSoon();
       return;
     case OrderStatus::kOtherIncarnation:
-      BeginIncarnation(0);
+      EndIncarnation();
       PollSoon();
       return;
     case OrderStatus::kUnhealthy:
@@ -245,7 +245,7 @@
     if (aReply.status_ == workers::OrderStatus::kFenced && fence == fence_) {
       Q_EMIT Fenced();
     } else if (aReply.status_ == workers::OrderStatus::kOtherIncarnation) {
-      BeginIncarnation(0);
+      EndIncarnation();
       PollSoon();
     } else if (aReply.status_ == workers::OrderStatus::kAccepted && incarnation == incarnation_) {
       run->stopConfirmedAt_ = std::chrono::steady_clock::now();
@@ -393,7 +393,7 @@
     return;
   }
   if (aStatus.status_ == workers::OrderStatus::kOtherIncarnation) {
-    BeginIncarnation(0);
+    EndIncarnation();
   }
   if (aStatus.status_ != workers::OrderStatus::kAccepted) {
     OnPollFailed(aStatus);
@@ -406,7 +406,7 @@
   mayHaveRestarted_ = false;
   const std::int64_t startedBefore = state_.startedMs_;
   if (aStatus.startedMs_ != 0 && aStatus.startedMs_ != state_.startedMs_) {
-    BeginIncarnation(aStatus.startedMs_);
+    BeginIncarnation(aStatus.startedMs_, aPoll.sentAt_);
   }
   if (aStatus.startedMs_ == startedBefore) {
     state_.lastAcknowledgedEnd_ = std::max(state_.lastAcknowledgedEnd_, aPoll.acknowledgedEnd_);
@@ -462,14 +462,42 @@
 }
 
 void
-Worker::BeginIncarnation(std::int64_t aStartedMs)
+Worker::BeginIncarnation(std::int64_t aStartedMs, clock::Moment aPolledAt)
 {
-  const bool isFirst =
-    incarnation_ == 0 && state_.startedMs_ == 0 && aStartedMs != 0 && state_.runs_.empty();
-  state_.startedMs_ = aStartedMs;
+  const bool isFirst = incarnation_ == 0 && state_.startedMs_ == 0 && !workers::HasRuns(state_);
   if (isFirst) {
+    state_.startedMs_ = aStartedMs;
     return;
   }
+  ForgetIncarnation(aStartedMs);
+  staleFence_ = fence_;
+  mayObeyStaleCalls_ = true;
+  EndRuns(workers::TakeConfirmedRuns(state_, aPolledAt), jobs::EndKind::kLapsed);
+  for (const auto& [task, run] : state_.runs_) {
+    log::Warn("worker",
+              "event=order-in-doubt worker=",
+              registration_.id_,
+              " born=",
+              aStartedMs,
+              " task=",
+              jobs::ToString(task),
+              " run=",
+              run.number_);
+  }
+  Q_EMIT Restarted();
+}
+
+void
+Worker::EndIncarnation()
+{
+  ForgetIncarnation(0);
+  // What answers at the address has another id, and rejects all orders for this one.
+  EndRuns(workers::TakeRuns(state_), jobs::EndKind::kLapsed);
+}
+
+void
+Worker::ForgetIncarnation(std::int64_t aStartedMs)
+{
   log::Info("worker",
             "event=worker-reborn worker=",
             registration_.id_,
@@ -477,36 +505,12 @@
             aStartedMs,
             " runs=",
             state_.runs_.size());
-  for (const auto& [task, run] : state_.runs_) {
-    if (!run.confirmed_) {
-      log::Warn("worker",
-                "event=order-in-doubt worker=",
-                registration_.id_,
-                " born=",
-                aStartedMs,
-                " task=",
-                jobs::ToString(task),
-                " run=",
-                run.number_);
-    }
-  }
   ++incarnation_;
+  state_.startedMs_ = aStartedMs;
   state_.lastReportedEnd_ = 0;
   state_.lastAcknowledgedEnd_ = 0;
   state_.unrecordedEnds_.clear();
   state_.clock_.reset();
-  for (auto& [task, run] : state_.runs_) {
-    run.stopConfirmedAt_ = {}; // A stop binds only the incarnation that confirmed it.
-  }
-  if (aStartedMs == 0) {
-    // What answers at the address has another id, and rejects all orders for this one.
-    EndRuns(workers::TakeRuns(state_), jobs::EndKind::kLapsed);
-    return;
-  }
-  staleFence_ = fence_;
-  mayObeyStaleCalls_ = true;
-  EndRuns(workers::TakeConfirmedRuns(state_), jobs::EndKind::kLapsed);
-  Q_EMIT Restarted();
 }
 
 void
--- a/src/workers/WorkerState.cpp
+++ b/src/workers/WorkerState.cpp
@@ -94,12 +94,15 @@
 }
 
 std::map<jobs::TaskId, Run>
-TakeConfirmedRuns(WorkerState& aState)
+TakeConfirmedRuns(WorkerState& aState, clock::Moment aPolledAt)
 {
   std::map<jobs::TaskId, Run> confirmed;
-  for (const auto& [task, run] : aState.runs_) {
-    if (run.confirmed_) {
+  for (auto& [task, run] : aState.runs_) {
+    if (run.confirmed_ && run.answeredAt_ < aPolledAt) {
       confirmed.emplace(task, run);
+    } else {
+      run.confirmed_ = false;
+      run.stopConfirmedAt_ = {};
     }
   }
   for (const auto& [task, run] : confirmed) {
--- a/tests/unit/CellOrphansTest.cpp
+++ b/tests/unit/CellOrphansTest.cpp
@@ -150,7 +150,7 @@
     Submit(*cell, "job1", aSpec);
     BOOST_TEST(WaitForRun(w1_, first_));
     BOOST_TEST(WaitForRun(w2_, second_));
-    w2_.running_[first_] = { kOrphan };
+    w2_.running_.emplace(first_, FakeWorker::Run{ kOrphan });
     BOOST_TEST(RunUntil([this] { return w2_.highestEndedRuns_.contains(first_); }));
     return cell;
   }
--- a/tests/unit/WorkerStateTest.cpp
+++ b/tests/unit/WorkerStateTest.cpp
@@ -77,12 +77,25 @@
   AddRun(state, task_, confirmed);
   const jobs::TaskId other{ "j", 0, 0, 1 };
   AddRun(state, other, MakeRun(2, 200));
-  BOOST_TEST(TakeConfirmedRuns(state).contains(task_));
+  BOOST_TEST(TakeConfirmedRuns(state, now_).contains(task_));
   BOOST_TEST(state.runs_.size() == 1U);
   BOOST_TEST(state.runs_.contains(other));
   BOOST_TEST(state.used_.cpu_ == 200);
 }
 
+BOOST_AUTO_TEST_CASE(ConfirmedRuns_AnsweredAfterThePoll_StayUnconfirmed)
+{
+  WorkerState state;
+  Run confirmed = MakeRun(1, 700);
+  confirmed.confirmed_ = true;
+  confirmed.answeredAt_ = now_ + 1ms;
+  confirmed.stopConfirmedAt_ = now_ + 2ms;
+  AddRun(state, task_, confirmed);
+  BOOST_TEST(TakeConfirmedRuns(state, now_).empty());
+  BOOST_TEST(!state.runs_.at(task_).confirmed_);
+  BOOST_TEST(!IsStopConfirmed(state.runs_.at(task_), now_ + 1h));
+}
+
 BOOST_AUTO_TEST_CASE(Run_WorkerHasSeenAFence_IsRejectedOnlyIfOrderedUnderALowerOneAndUnconfirmed)
 {
   Run run = MakeRun(1, 700);
@@ -129,7 +142,7 @@
   WorkerState state;
   AddRun(state, task_, MakeRun(2, 700)); // Its order has no answer.
   AddOrphan(state, task_, MakeRun(1, 500));
-  BOOST_TEST(TakeConfirmedRuns(state).empty());
+  BOOST_TEST(TakeConfirmedRuns(state, now_).empty());
   BOOST_TEST(state.used_.cpu_ == 700);
   AddOrphan(state, task_, MakeRun(1, 500));
   BOOST_TEST(TakeRuns(state).size() == 1);
