A run in doubt that is being stopped is stopped again after a restart

Callers would see a cancelled task run on, or a long-running one count as unavailable for good: its order had no answer, its stop was confirmed by an incarnation of the worker that then ended, and the order was carried out by the next one. The stop no longer counted, and nobody sent another (a fault of "Orders for an earlier incarnation ...", found in review).

Change: with a new incarnation the stops of the runs that stay are sent again. Besides, from the same review: an answer of another id (421) ends an incarnation only if the call was sent to that one; the speed of runs that stay counts as unknown; a worker that moves while the roster is being stored gets no orders before its new address is in it.

Evidence: Stop_ConfirmedBeforeARestartAndOrderLateAfterIt_RunIsStoppedAgain failed before (the run went on for 3 s) and passes; the suite WorkerRestarts passes. The other three were found by reading and have no test of their own.

--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -162,8 +162,10 @@
   void Poll();
   void OnStatus(const workers::WorkerStatus& aStatus, const SentPoll& aPoll);
   void OnPollFailed(const workers::WorkerStatus& aStatus);
+  /** @param aSentTo the incarnation that was known when the order was sent. */
   void OnStartReply(const jobs::TaskId& aTask,
                     std::int64_t aRun,
+                    int aSentTo,
                     const workers::OrderReply& aReply);
   void SendStop(const jobs::TaskId& aTask, std::int64_t aRun);
   /** Sends a stop again after a delay, if the run is still known then. */
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -316,7 +316,8 @@
   writer_.SetRoster(Roster(), clock::Milliseconds(0), [this, added] {
     for (const std::string& id : added) {
       const auto entry = workers_.find(id);
-      if (entry != workers_.end() && !entry->second.terminated_) {
+      // A worker that has moved in the meantime must be stored with its new address first.
+      if (entry != workers_.end() && !entry->second.terminated_ && entry->second.rosterRequested_) {
         entry->second.worker_->SetInRoster(true);
       }
     }
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -138,9 +138,9 @@
   state_.leaseEndMs_ = std::max(state_.leaseEndMs_, order.deadlineMs_);
   const jobs::TaskId task = aOrder.task_;
   const std::int64_t run = aOrder.run_;
-  port_->Start(order, [this, task, run](const workers::OrderReply& aReply) {
+  port_->Start(order, [this, task, run, sentTo = incarnation_](const auto& aReply) {
     Q_EMIT StartAnswered(run);
-    OnStartReply(task, run, aReply);
+    OnStartReply(task, run, sentTo, aReply);
   });
   if (state_.runs_.size() == 1) {
     PollSoon();
@@ -150,6 +150,7 @@
 void
 Worker::OnStartReply(const jobs::TaskId& aTask,
                      std::int64_t aRun,
+                     int aSentTo,
                      const workers::OrderReply& aReply)
 {
   using workers::OrderStatus;
@@ -182,9 +183,12 @@
       PollSoon();
       return;
     case OrderStatus::kOtherIncarnation:
-      EndIncarnation();
-      PollSoon();
-      return;
+      if (aSentTo == incarnation_) {
+        EndIncarnation();
+        PollSoon();
+        return;
+      }
+      break; // The worker has answered under its id since.
     case OrderStatus::kUnhealthy:
     case OrderStatus::kInvalid:
       PauseStarts(kStartPause);
@@ -244,10 +248,12 @@
     }
     if (aReply.status_ == workers::OrderStatus::kFenced && fence == fence_) {
       Q_EMIT Fenced();
+    } else if (incarnation != incarnation_) {
+      RetryStop(aTask, aRun); // The answer is of an earlier incarnation, or may be.
     } else if (aReply.status_ == workers::OrderStatus::kOtherIncarnation) {
       EndIncarnation();
       PollSoon();
-    } else if (aReply.status_ == workers::OrderStatus::kAccepted && incarnation == incarnation_) {
+    } else if (aReply.status_ == workers::OrderStatus::kAccepted) {
       run->stopConfirmedAt_ = std::chrono::steady_clock::now();
       PollSoon();
     } else {
@@ -483,6 +489,9 @@
               jobs::ToString(task),
               " run=",
               run.number_);
+    if (run.state_ == workers::RunState::kStopping) {
+      SendStop(task, run.number_); // A stop binds only the incarnation that has confirmed it.
+    }
   }
   Q_EMIT Restarted();
 }
--- a/src/workers/WorkerState.cpp
+++ b/src/workers/WorkerState.cpp
@@ -103,6 +103,7 @@
     } else {
       run.confirmed_ = false;
       run.stopConfirmedAt_ = {};
+      run.speedPercent_ = kUnknownSpeed;
     }
   }
   for (const auto& [task, run] : confirmed) {
--- a/tests/unit/WorkerRestartTest.cpp
+++ b/tests/unit/WorkerRestartTest.cpp
@@ -145,6 +145,18 @@
   CheckTaskRunsOnce();
 }
 
+BOOST_AUTO_TEST_CASE(Stop_ConfirmedBeforeARestartAndOrderLateAfterIt_RunIsStoppedAgain)
+{
+  worker_.startFates_ = { OrderFate::kLate };
+  SendStart();
+  cell_->Cancel("job1", [](const Answer& /*aAnswer*/) {});
+  BOOST_TEST(RunUntil([this] { return worker_.highestEndedRuns_.contains(first_); }));
+  worker_.Reboot();
+  worker_.RunLate();
+  BOOST_TEST(fleet_.RunsOf(first_) == 1);
+  BOOST_TEST(RunUntil([this] { return fleet_.RunsOf(first_) == 0; }, 3'000));
+}
+
 BOOST_AUTO_TEST_CASE(Stop_LateOverARestart_TaskRunsOnceAtATime)
 {
   worker_.stopFates_ = { OrderFate::kLate };
