--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -246,14 +246,14 @@
     if (run == nullptr) {
       return;
     }
+    // An answer that arrives after a restart may be of the earlier incarnation.
+    const bool isCurrent = incarnation == incarnation_;
     if (aReply.status_ == workers::OrderStatus::kFenced && fence == fence_) {
       Q_EMIT Fenced();
-    } else if (incarnation != incarnation_) {
-      RetryStop(aTask, aRun); // The answer is of an earlier incarnation, or may be.
-    } else if (aReply.status_ == workers::OrderStatus::kOtherIncarnation) {
+    } else if (isCurrent && aReply.status_ == workers::OrderStatus::kOtherIncarnation) {
       EndIncarnation();
       PollSoon();
-    } else if (aReply.status_ == workers::OrderStatus::kAccepted) {
+    } else if (isCurrent && aReply.status_ == workers::OrderStatus::kAccepted) {
       run->stopConfirmedAt_ = std::chrono::steady_clock::now();
       PollSoon();
     } else {
