Interfaces for organisations, quota grants and refusal reasons

New fields are at the end of each message and record, so that hosts and records of the previous release remain readable. Nothing reads them yet.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -8,6 +8,7 @@
 #include "include/quetzal/jobs/JobRegistry.h"
 #include "include/quetzal/metrics/Registry.h"
 #include "include/quetzal/node/PlatformState.h"
+#include "include/quetzal/organisations/Demand.h"
 #include "include/quetzal/placement/JobOrder.h"
 #include "include/quetzal/placement/Placement.h"
 #include "include/quetzal/placement/UnfitNeeds.h"
@@ -29,6 +30,14 @@
   kUnknownJob,     ///< No such job exists.
   kUnknownOutcome, ///< The request may have been stored, or may still be.
   kCounted,
+  kForbidden, ///< The job belongs to another organisation.
+};
+
+/** Why a submission was refused. */
+enum class RefusalReason : std::uint8_t
+{
+  kUnavailable, ///< The job cannot be stored now.
+  kOverRate,    ///< Its organisation exceeds its rate, and the job would end too late.
 };
 
 const char*
@@ -38,9 +47,10 @@
 struct Answer
 {
   AnswerStatus status_ = AnswerStatus::kUnknownOutcome;
-  jobs::JobState state_ = jobs::JobState::kQueued; ///< With kFound.
-  std::int64_t pending_ = 0;                       ///< With kCounted.
-  clock::Milliseconds retryAfter_{ 0 };            ///< With kRefused.
+  jobs::JobState state_ = jobs::JobState::kQueued;      ///< With kFound.
+  std::int64_t pending_ = 0;                            ///< With kCounted.
+  clock::Milliseconds retryAfter_{ 0 };                 ///< With kRefused.
+  RefusalReason refusal_ = RefusalReason::kUnavailable; ///< With kRefused.
 };
 
 using AnswerCallback = std::function<void(const Answer&)>;
@@ -90,6 +100,10 @@
   /** Cores needed for arriving jobs once a host that is allocated now has arrived. */
   double forecastCores_ = 0;
   std::vector<WorkerReport> workers_;
+  std::int64_t fence_ = 0;
+  std::int64_t sequence_ = 0;   ///< Counts the reports of this owner; an older report is ignored.
+  bool isSynchronized_ = false; ///< Every run that an earlier owner may have started is known.
+  std::vector<organisations::Demand> organisations_; ///< Those that use or wait for anything.
 };
 
 /** Owns the jobs and workers of one service: accepts jobs, places their tasks and stores their
--- a/include/quetzal/jobs/Configuration.h
+++ b/include/quetzal/jobs/Configuration.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "include/quetzal/organisations/Organisation.h"
+
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -40,6 +42,7 @@
   std::string prefix_; ///< Path of callers' requests, up to the job's id.
   std::string service_;
   QueueTerms terms_;
+  bool public_ = false; ///< Calls need no API key, and its jobs belong to no organisation.
 
   auto operator<=>(const Queue&) const = default;
 };
@@ -60,6 +63,8 @@
   std::int64_t version_ = 0;
   std::vector<Queue> queues_;
   std::vector<Service> services_;
+  std::vector<organisations::Organisation> organisations_;
+  bool requiresKeys_ = false; ///< Calls to queues that are not public need an API key.
 
   auto operator<=>(const Configuration&) const = default;
 };
--- a/include/quetzal/jobs/Job.h
+++ b/include/quetzal/jobs/Job.h
@@ -59,6 +59,7 @@
   std::string id_;
   JobSpec spec_;
   std::optional<QueueTerms> terms_; ///< Of the queue at acceptance; unset if not known.
+  std::string organisation_{};      ///< Whose key it was submitted with; empty: none.
 };
 
 enum class JobState : std::uint8_t
--- a/include/quetzal/jobs/JobRegistry.h
+++ b/include/quetzal/jobs/JobRegistry.h
@@ -13,7 +13,8 @@
 struct EndedJob
 {
   JobState state_ = JobState::kCompleted;
-  std::int64_t endedMs_ = 0; ///< Unix milliseconds.
+  std::int64_t endedMs_ = 0;   ///< Unix milliseconds.
+  std::string organisation_{}; ///< Of the job; empty: none.
 
   bool operator==(const EndedJob&) const = default;
 };
--- a/include/quetzal/jobs/JobTable.h
+++ b/include/quetzal/jobs/JobTable.h
@@ -61,6 +61,7 @@
   kNotDue,      ///< A repetition, another try, or the other tasks of a gang are not due.
   kNoTicket,    ///< Waits for the placement advice service.
   kNoRoom,
+  kQuota, ///< Its organisation may not use more in this cell now.
 };
 
 /** Returns the reason's name in logs, such as "no-room". */
@@ -72,6 +73,7 @@
 {
   std::string id_;
   std::string queue_;
+  std::string organisation_; ///< The organisation that submitted it; empty: none.
   JobSpec spec_;
   QueueTerms terms_; ///< Of the queue when the job was accepted.
   JobState state_ = JobState::kQueued;
--- a/include/quetzal/jobs/Records.h
+++ b/include/quetzal/jobs/Records.h
@@ -88,6 +88,7 @@
   std::int64_t firstMs_ = 0;
   std::int64_t intervalMs_ = 0;
   std::optional<TermsRecord> terms_; ///< Earlier versions of this program stored none.
+  std::string organisation_;         ///< The organisation that submitted it; empty: none.
 
   MSGPACK_DEFINE_ARRAY(cell_,
                        queue_,
@@ -98,7 +99,8 @@
                        repetitions_,
                        firstMs_,
                        intervalMs_,
-                       terms_)
+                       terms_,
+                       organisation_)
 };
 
 /** Failed runs or the checkpoint of one task. */
@@ -222,7 +224,8 @@
 MakeEndRecord(const std::string& aCell,
               const std::string& aQueue,
               JobState aState,
-              std::int64_t aEndedMs);
+              std::int64_t aEndedMs,
+              const std::string& aOrganisation = {});
 
 /** Returns the specification of the job in a record. */
 JobSpec
--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -37,6 +37,8 @@
   std::set<std::string> cordoned_;
   std::set<std::string> evict_;
   std::set<std::string> terminated_; ///< Workers that are not the current incarnation of any host.
+  std::vector<organisations::Grant> grants_;
+  bool hasGrants_ = false; ///< False if the owner of the fleet does not divide quotas.
 };
 
 /** Orders moves and maintenance of hosts while its process owns the fleet's cell. */
--- a/include/quetzal/node/JobRequestHandler.h
+++ b/include/quetzal/node/JobRequestHandler.h
@@ -21,8 +21,9 @@
   RequestKind kind_ = RequestKind::kGetState;
   std::string cell_;
   std::string queue_;
-  std::string id_;     ///< Empty for kCountPending.
-  jobs::JobSpec spec_; ///< Set for kSubmit.
+  std::string id_;           ///< Empty for kCountPending.
+  std::string organisation_; ///< Whose key the call carried; empty: unrestricted.
+  jobs::JobSpec spec_;       ///< Set for kSubmit.
   /** Set for kSubmit: of the queue on the host that the caller reached. An earlier version of that
    * host's process sets none. */
   std::optional<jobs::QueueTerms> terms_;
--- a/include/quetzal/workers/WorkerPort.h
+++ b/include/quetzal/workers/WorkerPort.h
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/jobs/Job.h"
 #include "include/quetzal/settings/Node.h"
+#include "include/quetzal/workers/Capacity.h"
 
 #include <functional>
 #include <memory>
@@ -12,16 +13,6 @@
 /** Workers: their registration, the status that they report, and the orders that they accept. */
 namespace quetzal::workers {
 
-/** Processor time in thousandths of a core, memory in megabytes, accelerators. */
-struct Capacity
-{
-  std::int64_t cpu_ = 0;
-  std::int64_t memory_ = 0;
-  std::int64_t accelerators_ = 0;
-
-  auto operator<=>(const Capacity&) const = default;
-};
-
 /** A worker's entry in the platform's store. */
 struct Registration
 {
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -26,8 +26,8 @@
 const char*
 ToString(AnswerStatus aStatus)
 {
-  static constexpr std::array kNames{ "accepted",    "refused",   "shown",  "cancelled",
-                                      "unknown-job", "undecided", "counted" };
+  static constexpr std::array kNames{ "accepted",    "refused",   "shown",   "cancelled",
+                                      "unknown-job", "undecided", "counted", "forbidden" };
   return kNames.at(static_cast<std::size_t>(aStatus));
 }
 
@@ -132,11 +132,12 @@
   const std::string id = aItem.key_.substr(kJobPrefix.size());
   const auto state = static_cast<jobs::JobState>(record.state_);
   if (jobs::IsFinal(state)) {
-    jobs_.AddEnded(id, { state, record.timestampMs_ });
+    jobs_.AddEnded(id, { state, record.timestampMs_, record.organisation_ });
     return;
   }
   jobs::Job job = jobs::MakeJob(id, record.queue_, jobs::SpecOf(record));
   job.terms_ = TermsAtAcceptance(record.queue_, jobs::TermsOf(record));
+  job.organisation_ = record.organisation_;
   job.state_ = state;
   job.stored_ = true;
   job.fromPredecessor_ = true;
@@ -382,6 +383,7 @@
   }
   jobs::Job job = jobs::MakeJob(id, aSubmission.queue_, aSubmission.spec_);
   job.terms_ = TermsAtAcceptance(aSubmission.queue_, aSubmission.terms_);
+  job.organisation_ = aSubmission.organisation_;
   job.arrivedAt_ = Now();
   job.acceptedMs_ = UnixMs();
   jobs::Submission accepted = aSubmission;
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -285,9 +285,10 @@
   }
   const std::int64_t endedMs = UnixMs();
   CellWrite write;
-  write.puts_.push_back({ JobKey(aJob.id_),
-                          jobs::Encode(jobs::MakeEndRecord(service_, aJob.queue_, aState, endedMs)),
-                          0 });
+  write.puts_.push_back(
+    { JobKey(aJob.id_),
+      jobs::Encode(jobs::MakeEndRecord(service_, aJob.queue_, aState, endedMs, aJob.organisation_)),
+      0 });
   if (aJob.hasProgress_) {
     write.removes_.push_back(ProgressPrefix(service_) + aJob.id_);
   }
@@ -311,7 +312,7 @@
                 jobs::ToString(aState),
                 " after_ms=",
                 std::chrono::duration_cast<clock::Milliseconds>(Now() - job->arrivedAt_).count());
-      jobs_.End(id, { aState, endedMs });
+      jobs_.End(id, { aState, endedMs, job->organisation_ });
       for (const auto& callback : ended.mapped()) {
         callback();
       }
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -112,8 +112,8 @@
 const char*
 ToString(WaitReason aReason)
 {
-  static constexpr std::array kNames{ "none",    "not-tried", "predecessor",
-                                      "not-due", "no-ticket", "no-room" };
+  static constexpr std::array kNames{ "none",      "not-tried", "predecessor", "not-due",
+                                      "no-ticket", "no-room",   "quota" };
   return kNames.at(static_cast<std::size_t>(aReason));
 }
 
--- a/src/jobs/Records.cpp
+++ b/src/jobs/Records.cpp
@@ -31,6 +31,7 @@
   record.queue_ = aJob.queue_;
   record.state_ = static_cast<int>(JobState::kQueued);
   record.timestampMs_ = aAcceptedMs;
+  record.organisation_ = aJob.organisation_;
   record.payload_ = aJob.spec_.payload_;
   for (const StepSpec& step : aJob.spec_.steps_) {
     record.steps_.push_back({ step });
@@ -48,13 +49,15 @@
 MakeEndRecord(const std::string& aCell,
               const std::string& aQueue,
               JobState aState,
-              std::int64_t aEndedMs)
+              std::int64_t aEndedMs,
+              const std::string& aOrganisation)
 {
   JobRecord record;
   record.cell_ = aCell;
   record.queue_ = aQueue;
   record.state_ = static_cast<int>(aState);
   record.timestampMs_ = aEndedMs;
+  record.organisation_ = aOrganisation;
   return record;
 }
 
--- a/src/node/Messages.cpp
+++ b/src/node/Messages.cpp
@@ -19,7 +19,58 @@
 bool
 IsAnswerStatus(int aStatus)
 {
-  return aStatus >= 0 && aStatus <= static_cast<int>(cells::AnswerStatus::kCounted);
+  return aStatus >= 0 && aStatus <= static_cast<int>(cells::AnswerStatus::kForbidden);
+}
+
+bool
+IsRefusalReason(int aReason)
+{
+  return aReason >= 0 && aReason <= static_cast<int>(cells::RefusalReason::kOverRate);
+}
+
+constexpr std::int64_t kMaxReportedUnits = 1'000'000'000'000;
+
+bool
+IsUsable(const CapacityEntry& aCapacity)
+{
+  const auto isWithin = [](std::int64_t aUnits) {
+    return aUnits >= 0 && aUnits <= kMaxReportedUnits;
+  };
+  return isWithin(aCapacity.cpu_) && isWithin(aCapacity.memory_) &&
+         isWithin(aCapacity.accelerators_);
+}
+
+bool
+IsUsable(const DemandEntry& aDemand)
+{
+  return IsUsable(aDemand.used_) && IsUsable(aDemand.wanted_) && IsUsable(aDemand.nextNeed_) &&
+         IsUsable(aDemand.held_) && aDemand.waitingMs_ >= 0;
+}
+
+CapacityEntry
+ToEntry(const workers::Capacity& aCapacity)
+{
+  return { aCapacity.cpu_, aCapacity.memory_, aCapacity.accelerators_ };
+}
+
+workers::Capacity
+FromEntry(const CapacityEntry& aEntry)
+{
+  return { aEntry.cpu_, aEntry.memory_, aEntry.accelerators_ };
+}
+
+DemandEntry
+ToEntry(const organisations::Demand& aDemand)
+{
+  return { aDemand.organisation_,      ToEntry(aDemand.used_), ToEntry(aDemand.wanted_),
+           ToEntry(aDemand.nextNeed_), ToEntry(aDemand.held_), aDemand.waitingMs_ };
+}
+
+organisations::Demand
+FromEntry(const DemandEntry& aEntry)
+{
+  return { aEntry.organisation_,        FromEntry(aEntry.used_), FromEntry(aEntry.wanted_),
+           FromEntry(aEntry.nextNeed_), FromEntry(aEntry.held_), aEntry.waitingMs_ };
 }
 
 /** Returns whether an amount is usable. It is false for values that are not numbers, which have no
@@ -37,9 +88,13 @@
     std::all_of(aCall.workers_.begin(), aCall.workers_.end(), [](const WorkerEntry& aWorker) {
       return aWorker.runs_ >= 0;
     });
-  return hasValidRuns && aCall.unschedulableTasks_ >= 0 && IsAmount(aCall.longRunningCores_) &&
-         IsAmount(aCall.longRunningMemory_) && IsAmount(aCall.urgentCores_) &&
-         IsAmount(aCall.forecastCores_);
+  const bool hasValidDemands =
+    std::all_of(aCall.organisations_.begin(),
+                aCall.organisations_.end(),
+                [](const DemandEntry& aDemand) { return IsUsable(aDemand); });
+  return hasValidRuns && hasValidDemands && aCall.unschedulableTasks_ >= 0 &&
+         IsAmount(aCall.longRunningCores_) && IsAmount(aCall.longRunningMemory_) &&
+         IsAmount(aCall.urgentCores_) && IsAmount(aCall.forecastCores_);
 }
 
 /** Reads the job of a submission. @return whether it can be run. */
@@ -67,9 +122,12 @@
   call.queue_ = aRequest.queue_;
   call.id_ = aRequest.id_;
   call.timeoutMs_ = aRequest.timeout_.count();
+  call.organisation_ = aRequest.organisation_;
   if (aRequest.kind_ == RequestKind::kSubmit) {
     call.job_ = jobs::Encode(jobs::MakeJobRecord(
-      aRequest.cell_, { aRequest.queue_, aRequest.id_, aRequest.spec_, aRequest.terms_ }, 0));
+      aRequest.cell_,
+      { aRequest.queue_, aRequest.id_, aRequest.spec_, aRequest.terms_, aRequest.organisation_ },
+      0));
   }
   return call;
 }
@@ -86,6 +144,7 @@
   request.queue_ = aCall.queue_;
   request.id_ = aCall.id_;
   request.timeout_ = clock::Milliseconds(aCall.timeoutMs_);
+  request.organisation_ = aCall.organisation_;
   if (request.kind_ == RequestKind::kSubmit && !ReadJob(aCall.job_, request)) {
     return std::nullopt;
   }
@@ -101,6 +160,7 @@
   reply.state_ = static_cast<int>(aAnswer.state_);
   reply.pending_ = aAnswer.pending_;
   reply.retryAfterMs_ = aAnswer.retryAfter_.count();
+  reply.refusal_ = static_cast<int>(aAnswer.refusal_);
   return reply;
 }
 
@@ -109,7 +169,8 @@
 {
   const auto state = jobs::ReadJobState(aReply.state_);
   if (!IsAnswerStatus(aReply.status_) || !state || aReply.pending_ < 0 ||
-      aReply.retryAfterMs_ < 0 || aReply.retryAfterMs_ > kMaxRetryAfterMs) {
+      aReply.retryAfterMs_ < 0 || aReply.retryAfterMs_ > kMaxRetryAfterMs ||
+      !IsRefusalReason(aReply.refusal_)) {
     return std::nullopt;
   }
   cells::Answer answer;
@@ -117,6 +178,7 @@
   answer.state_ = *state;
   answer.pending_ = aReply.pending_;
   answer.retryAfter_ = clock::Milliseconds(aReply.retryAfterMs_);
+  answer.refusal_ = static_cast<cells::RefusalReason>(aReply.refusal_);
   return answer;
 }
 
@@ -134,6 +196,12 @@
     call.workers_.push_back(
       { worker.id_, worker.runs_, worker.hasLongRunning_, worker.cordoned_, worker.synchronized_ });
   }
+  call.fence_ = aReport.fence_;
+  call.sequence_ = aReport.sequence_;
+  call.isSynchronized_ = aReport.isSynchronized_;
+  for (const organisations::Demand& demand : aReport.organisations_) {
+    call.organisations_.push_back(ToEntry(demand));
+  }
   return call;
 }
 
@@ -154,7 +222,37 @@
     report.workers_.push_back(
       { worker.id_, worker.runs_, worker.hasLongRunning_, worker.cordoned_, worker.synchronized_ });
   }
+  report.fence_ = aCall.fence_;
+  report.sequence_ = aCall.sequence_;
+  report.isSynchronized_ = aCall.isSynchronized_;
+  for (const DemandEntry& demand : aCall.organisations_) {
+    report.organisations_.push_back(FromEntry(demand));
+  }
   return report;
 }
 
+ReportReply
+ToReply(const CellOrders& aOrders)
+{
+  ReportReply reply{ true, aOrders.cordoned_, aOrders.evict_, aOrders.terminated_,
+                     {},   aOrders.hasGrants_ };
+  for (const organisations::Grant& grant : aOrders.grants_) {
+    reply.grants_.push_back({ grant.organisation_, ToEntry(grant.limit_) });
+  }
+  return reply;
+}
+
+std::optional<CellOrders>
+FromReply(const ReportReply& aReply)
+{
+  CellOrders orders{ aReply.cordoned_, aReply.evict_, aReply.terminated_, {}, aReply.hasGrants_ };
+  for (const GrantEntry& grant : aReply.grants_) {
+    if (!IsUsable(grant.limit_)) {
+      return std::nullopt;
+    }
+    orders.grants_.push_back({ grant.organisation_, FromEntry(grant.limit_) });
+  }
+  return orders;
+}
+
 } // namespace quetzal::node
--- a/src/node/Messages.h
+++ b/src/node/Messages.h
@@ -18,8 +18,9 @@
   std::string id_;
   std::string job_; ///< An encoded JobRecord; empty except for kSubmit.
   std::int64_t timeoutMs_ = 0;
+  std::string organisation_; ///< Earlier versions send none.
 
-  MSGPACK_DEFINE_ARRAY(kind_, cell_, queue_, id_, job_, timeoutMs_)
+  MSGPACK_DEFINE_ARRAY(kind_, cell_, queue_, id_, job_, timeoutMs_, organisation_)
 };
 
 /** A cells::Answer, as sent between entry hosts. */
@@ -30,8 +31,9 @@
   int state_ = 0;
   std::int64_t pending_ = 0;
   std::int64_t retryAfterMs_ = 0;
+  int refusal_ = 0; ///< A cells::RefusalReason; earlier versions send none.
 
-  MSGPACK_DEFINE_ARRAY(owned_, status_, state_, pending_, retryAfterMs_)
+  MSGPACK_DEFINE_ARRAY(owned_, status_, state_, pending_, retryAfterMs_, refusal_)
 };
 
 struct WorkerEntry
@@ -45,6 +47,38 @@
   MSGPACK_DEFINE_ARRAY(id_, runs_, hasLongRunning_, cordoned_, synchronized_)
 };
 
+/** A workers::Capacity, as sent between entry hosts. */
+struct CapacityEntry
+{
+  std::int64_t cpu_ = 0;
+  std::int64_t memory_ = 0;
+  std::int64_t accelerators_ = 0;
+
+  MSGPACK_DEFINE_ARRAY(cpu_, memory_, accelerators_)
+};
+
+/** An organisations::Demand, as sent between entry hosts. */
+struct DemandEntry
+{
+  std::string organisation_;
+  CapacityEntry used_;
+  CapacityEntry wanted_;
+  CapacityEntry nextNeed_;
+  CapacityEntry held_;
+  std::int64_t waitingMs_ = 0;
+
+  MSGPACK_DEFINE_ARRAY(organisation_, used_, wanted_, nextNeed_, held_, waitingMs_)
+};
+
+/** An organisations::Grant, as sent between entry hosts. */
+struct GrantEntry
+{
+  std::string organisation_;
+  CapacityEntry limit_;
+
+  MSGPACK_DEFINE_ARRAY(organisation_, limit_)
+};
+
 /** A cells::CellReport, as sent between entry hosts. */
 struct ReportCall
 {
@@ -55,6 +89,11 @@
   double urgentCores_ = 0;
   double forecastCores_ = 0;
   std::vector<WorkerEntry> workers_;
+  // Earlier versions send none of the following.
+  std::int64_t fence_ = 0;
+  std::int64_t sequence_ = 0;
+  bool isSynchronized_ = false;
+  std::vector<DemandEntry> organisations_;
 
   MSGPACK_DEFINE_ARRAY(service_,
                        longRunningCores_,
@@ -62,7 +101,11 @@
                        unschedulableTasks_,
                        urgentCores_,
                        forecastCores_,
-                       workers_)
+                       workers_,
+                       fence_,
+                       sequence_,
+                       isSynchronized_,
+                       organisations_)
 };
 
 /** CellOrders, as sent between entry hosts. */
@@ -72,8 +115,11 @@
   std::set<std::string> cordoned_;
   std::set<std::string> evict_;
   std::set<std::string> terminated_;
+  // Earlier versions send none of the following.
+  std::vector<GrantEntry> grants_;
+  bool hasGrants_ = false;
 
-  MSGPACK_DEFINE_ARRAY(owned_, cordoned_, evict_, terminated_)
+  MSGPACK_DEFINE_ARRAY(owned_, cordoned_, evict_, terminated_, grants_, hasGrants_)
 };
 
 JobCall
@@ -88,6 +134,11 @@
 FromReply(const JobReply& aReply);
 ReportCall
 ToCall(const cells::CellReport& aReport);
+ReportReply
+ToReply(const CellOrders& aOrders);
+/** Returns the orders; std::nullopt if any amount is negative or out of range. */
+std::optional<CellOrders>
+FromReply(const ReportReply& aReply);
 /** Returns the report; std::nullopt if any amount is negative, not finite or out of range. */
 std::optional<cells::CellReport>
 FromCall(const ReportCall& aCall);
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -335,8 +335,7 @@
     if (!report) {
       log::Warn("node", "event=report-ignored cell=", call.service_, " bytes=", aBody.size());
     } else if (fleet_ != nullptr) {
-      const CellOrders orders = fleet_->OnReport(*report);
-      reply = { true, orders.cordoned_, orders.evict_, orders.terminated_ };
+      reply = ToReply(fleet_->OnReport(*report));
     }
     aReply(jobs::Encode(reply));
     return;
@@ -373,9 +372,10 @@
                 }
                 ownedCell->second.reporting_ = false;
                 ReportReply reply;
-                if (aResult.failure_ == CallFailure::kNone && jobs::Decode(aResult.body_, reply) &&
-                    reply.owned_) {
-                  ApplyOrders(aCell, { reply.cordoned_, reply.evict_, reply.terminated_ });
+                const bool isAnswered = aResult.failure_ == CallFailure::kNone &&
+                                        jobs::Decode(aResult.body_, reply) && reply.owned_;
+                if (const auto orders = isAnswered ? FromReply(reply) : std::nullopt) {
+                  ApplyOrders(aCell, *orders);
                 }
               });
 }
--- a/src/node/RequestRouter.cpp
+++ b/src/node/RequestRouter.cpp
@@ -35,8 +35,9 @@
 {
   switch (aRequest.kind_) {
     case RequestKind::kSubmit:
-      aCell.Submit({ aRequest.queue_, aRequest.id_, aRequest.spec_, aRequest.terms_ },
-                   std::move(aDone));
+      aCell.Submit(
+        { aRequest.queue_, aRequest.id_, aRequest.spec_, aRequest.terms_, aRequest.organisation_ },
+        std::move(aDone));
       return;
     case RequestKind::kGetState:
       aCell.Show(aRequest.id_, aDone);
