Calls need an organisation's API key; hosts without the store get the newest keys

Change: the adapter reads organisations, quotas and digests of keys; the host that a caller reached looks the key up and answers 401; the owner of the job's cell, or the host that reads its record, answers 403 for another organisation's job. Without organisations or public queues in the configuration nothing changes. A host whose copy of the configuration the store does not confirm asks others for a newer one, one every 300 ms, over all availability zones in turn (node/ConfigurationRelay). Nothing is sent in calm. An older revision never replaces a newer one, from a peer or from the store. Tests: KeyRings, BearerTokens, CellOrganisations, ConfigurationOfOrganisations, NodeOfAnEntryHost, RelayDecisions, ConfigurationRelays.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -124,8 +124,11 @@
   std::int64_t Fence() const { return fence_; }
 
   void Submit(const jobs::Submission& aSubmission, AnswerCallback aDone);
-  void Show(const std::string& aId, const AnswerCallback& aDone) const;
-  void Cancel(const std::string& aId, AnswerCallback aDone);
+  /** @param aOrganisation the caller's organisation; empty: the call is not restricted. */
+  void Show(const std::string& aId,
+            const std::string& aOrganisation,
+            const AnswerCallback& aDone) const;
+  void Cancel(const std::string& aId, const std::string& aOrganisation, AnswerCallback aDone);
   std::int64_t PendingOf(const std::string& aQueue) const;
 
   /** Returns how many jobs have not ended. */
@@ -177,6 +180,8 @@
 
   void RestoreState(const PredecessorState& aState);
   void RestoreJob(const store::KeyValue& aItem);
+  /** Returns whether a job is known and belongs to another organisation than the caller. */
+  bool IsForbidden(const std::string& aId, const std::string& aOrganisation) const;
   jobs::QueueTerms TermsAtAcceptance(const std::string& aQueue,
                                      const std::optional<jobs::QueueTerms>& aKnown) const;
   void SyncWorkers();
--- a/include/quetzal/jobs/Configuration.h
+++ b/include/quetzal/jobs/Configuration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "include/quetzal/organisations/KeyRing.h"
 #include "include/quetzal/organisations/Organisation.h"
 
 #include <compare>
@@ -64,6 +65,7 @@
   std::vector<Queue> queues_;
   std::vector<Service> services_;
   std::vector<organisations::Organisation> organisations_;
+  organisations::KeyRing keys_;
   bool requiresKeys_ = false; ///< Calls to queues that are not public need an API key.
 
   auto operator<=>(const Configuration&) const = default;
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/quetzal/node/CellClaim.h"
+#include "include/quetzal/node/ConfigurationRelay.h"
 #include "include/quetzal/node/FleetManager.h"
 #include "include/quetzal/node/JobRequestHandler.h"
 #include "include/quetzal/node/NodeSettings.h"
@@ -123,6 +124,7 @@
   Membership membership_;
   PeerLinks links_;
   RequestRouter router_;
+  ConfigurationRelay relay_;
   std::map<std::string, OwnedCell> cells_;
   std::map<std::string, CellClaim*> claims_;
   std::map<std::string, clock::Moment> vacantSince_;
--- a/include/quetzal/node/PeerCall.h
+++ b/include/quetzal/node/PeerCall.h
@@ -12,10 +12,11 @@
 /** The calls between entry hosts; sent as a number. */
 enum class PeerMethod : int
 {
-  kAnswer = 0, ///< Not a call, but the answer to one.
-  kJob = 1,    ///< A caller's request, for the owner of a cell.
-  kReport = 2, ///< A cell's report, for the owner of the fleet.
-  kPing = 3,   ///< Answered at once, to show that the connection works.
+  kAnswer = 0,        ///< Not a call, but the answer to one.
+  kJob = 1,           ///< A caller's request, for the owner of a cell.
+  kReport = 2,        ///< A cell's report, for the owner of the fleet.
+  kPing = 3,          ///< Answered at once, to show that the connection works.
+  kConfiguration = 4, ///< A question for a newer configuration, to any host.
 };
 
 enum class CallFailure : std::uint8_t
--- a/include/quetzal/node/PlatformState.h
+++ b/include/quetzal/node/PlatformState.h
@@ -15,6 +15,15 @@
 using Registrations = std::map<std::string, workers::Registration>;
 using Waves = std::map<std::int64_t, fleet::WaveRequest>;
 
+/** The operators' configuration as the store holds it. */
+struct StoredConfiguration
+{
+  std::int64_t revision_ = 0;
+  std::string bytes_;
+
+  bool operator==(const StoredConfiguration&) const = default;
+};
+
 /** The configuration, waves and worker registrations that the platform holds, kept up to date. */
 class PlatformState : public QObject
 {
@@ -30,6 +39,13 @@
   virtual const jobs::Configuration& Configuration() const = 0;
   /** Returns when the configuration was last known to be the newest. */
   virtual clock::Moment ConfigurationCheckedAt() const = 0;
+  /** Returns whether the last call to the store that follows the configuration has failed. */
+  virtual bool IsConfigurationWatchFailing() const = 0;
+  /** Returns the configuration in force, encoded; its revision is 0 if there is none. */
+  virtual const node::StoredConfiguration& StoredConfiguration() const = 0;
+  /** Takes a configuration that another host has read from the store, if it is newer than the one
+   * in force. @return whether it is in force now. */
+  virtual bool OfferConfiguration(const node::StoredConfiguration& aConfiguration) = 0;
   virtual bool HasWorkers() const = 0;
   virtual const Registrations& Workers() const = 0;
   virtual const node::Waves& Waves() const = 0;
--- a/include/quetzal/store/PrefixWatch.h
+++ b/include/quetzal/store/PrefixWatch.h
@@ -33,6 +33,9 @@
   /** Returns when the copy was last confirmed to match the store. */
   clock::Moment LastSyncedAt() const { return lastSyncedAt_; }
 
+  /** Returns whether the last call to the store has failed. */
+  bool IsFailing() const { return failing_; }
+
   const std::map<std::string, KeyValue>& Items() const { return items_; }
 
 Q_SIGNALS:
@@ -57,6 +60,7 @@
   int generation_ = 0; ///< Answers to calls of earlier generations are ignored.
   bool loaded_ = false;
   bool running_ = false;
+  bool failing_ = false;
 };
 
 } // namespace quetzal::store
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -21,6 +21,15 @@
  * repeat. */
 constexpr std::int64_t kRunsPerOwner = 10'000'000;
 
+/** Returns whether a caller may access the job of a stored record. A record that cannot be read
+ * belongs to nobody. */
+bool
+MayAccessRecord(const std::string& aCaller, const std::string& aBytes)
+{
+  jobs::JobRecord record;
+  return !jobs::Decode(aBytes, record) || organisations::MayAccess(aCaller, record.organisation_);
+}
+
 } // namespace
 
 const char*
@@ -368,6 +377,10 @@
 Cell::Submit(const jobs::Submission& aSubmission, AnswerCallback aDone)
 {
   const std::string& id = aSubmission.id_;
+  if (IsForbidden(id, aSubmission.organisation_)) {
+    aDone({ AnswerStatus::kForbidden });
+    return;
+  }
   const jobs::Job* known = jobs_.Find(id);
   if (jobs_.FindEnded(id) != nullptr || (known != nullptr && known->stored_)) {
     aDone({ AnswerStatus::kAccepted });
@@ -424,8 +437,10 @@
       answer = { AnswerStatus::kRefused, {}, 0, kRetryAfter };
     } else if (aResult.outcome_ == WriteOutcome::kConflict) {
       // The same job was submitted earlier, to the cell that its queue belonged to at that time.
+      const std::string caller = submitted == nullptr ? std::string() : submitted->organisation_;
       jobs_.Remove(id);
-      answer.status_ = AnswerStatus::kAccepted;
+      answer.status_ = MayAccessRecord(caller, aResult.existing_) ? AnswerStatus::kAccepted
+                                                                  : AnswerStatus::kForbidden;
     }
     if (!waiters.empty()) {
       for (const AnswerCallback& waiter : waiters.mapped()) {
@@ -436,10 +451,24 @@
   writer_.Add(id, std::move(write), kAcceptDelay);
 }
 
-void
-Cell::Show(const std::string& aId, const AnswerCallback& aDone) const
+bool
+Cell::IsForbidden(const std::string& aId, const std::string& aOrganisation) const
 {
   if (const jobs::EndedJob* ended = jobs_.FindEnded(aId)) {
+    return !organisations::MayAccess(aOrganisation, ended->organisation_);
+  }
+  const jobs::Job* job = jobs_.Find(aId);
+  return job != nullptr && !organisations::MayAccess(aOrganisation, job->organisation_);
+}
+
+void
+Cell::Show(const std::string& aId,
+           const std::string& aOrganisation,
+           const AnswerCallback& aDone) const
+{
+  if (IsForbidden(aId, aOrganisation)) {
+    aDone({ AnswerStatus::kForbidden });
+  } else if (const jobs::EndedJob* ended = jobs_.FindEnded(aId)) {
     aDone({ AnswerStatus::kFound, ended->state_ });
   } else if (const jobs::Job* job = jobs_.Find(aId)) {
     aDone({ AnswerStatus::kFound, job->state_ });
@@ -449,8 +478,12 @@
 }
 
 void
-Cell::Cancel(const std::string& aId, AnswerCallback aDone)
+Cell::Cancel(const std::string& aId, const std::string& aOrganisation, AnswerCallback aDone)
 {
+  if (IsForbidden(aId, aOrganisation)) {
+    aDone({ AnswerStatus::kForbidden });
+    return;
+  }
   if (jobs_.FindEnded(aId) != nullptr) {
     aDone({ AnswerStatus::kCancelled });
     return;
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -46,6 +46,12 @@
                 return owned == cells_.end() ? nullptr : owned->second.cell_;
               } },
             nullptr)
+  , relay_(
+      aSettings.name_,
+      *ports_.platformState_,
+      links_,
+      [this] { return membership_.Hosts(); },
+      metrics_)
   , startedAt_(Now())
   , stopSchedule_(process::MakeStopSchedule(aSettings.stopTime_, kMinServingTimeDuringStop))
 {
@@ -75,6 +81,7 @@
 void
 NodeProcess::OnPeriodicTimer()
 {
+  relay_.AskIfDue();
   ClaimCells();
   for (const auto& [cell, owned] : cells_) {
     SendReport(cell);
@@ -340,6 +347,10 @@
     aReply(jobs::Encode(reply));
     return;
   }
+  if (aMethod == PeerMethod::kConfiguration) {
+    aReply(relay_.AnswerTo(aBody));
+    return;
+  }
   router_.HandleCall(aBody, aReply);
 }
 
--- a/src/node/RequestRouter.cpp
+++ b/src/node/RequestRouter.cpp
@@ -40,10 +40,10 @@
         std::move(aDone));
       return;
     case RequestKind::kGetState:
-      aCell.Show(aRequest.id_, aDone);
+      aCell.Show(aRequest.id_, aRequest.organisation_, aDone);
       return;
     case RequestKind::kCancel:
-      aCell.Cancel(aRequest.id_, std::move(aDone));
+      aCell.Cancel(aRequest.id_, aRequest.organisation_, std::move(aDone));
       return;
     case RequestKind::kCountPending:
       cells::Answer answer;
@@ -264,6 +264,10 @@
     aDone({ cells::AnswerStatus::kUnknownJob });
     return;
   }
+  if (!organisations::MayAccess(aRequest.organisation_, record.organisation_)) {
+    aDone({ cells::AnswerStatus::kForbidden });
+    return;
+  }
   const auto known = jobs::ReadJobState(record.state_);
   if (!known) {
     // Another version of this program may have written it.
--- a/src/store/PrefixWatch.cpp
+++ b/src/store/PrefixWatch.cpp
@@ -69,7 +69,8 @@
 void
 PrefixWatch::OnRead(const ReadResult& aResult)
 {
-  if (aResult.status_ != Status::kSucceeded) {
+  failing_ = aResult.status_ != Status::kSucceeded;
+  if (failing_) {
     Schedule(kRetryDelay, &PrefixWatch::Read);
     return;
   }
@@ -114,7 +115,8 @@
     Read();
     return;
   }
-  if (aResult.status_ != Status::kSucceeded) {
+  failing_ = aResult.status_ != Status::kSucceeded;
+  if (failing_) {
     // A full read finds the changes that the failed watch may have missed.
     Schedule(kRetryDelay, &PrefixWatch::Read);
     return;
--- a/tests/harness/JobsDeployment.cpp
+++ b/tests/harness/JobsDeployment.cpp
@@ -136,7 +136,11 @@
                         const std::string& aTarget,
                         const std::string& aBody)
 {
-  return std::make_unique<Call>(Callers(aEntry), MakeJobRequest(aMethod, aTarget, aBody));
+  Request request = MakeJobRequest(aMethod, aTarget, aBody);
+  if (!key_.empty()) {
+    request.fields_.push_back({ "Authorization", "Bearer " + key_ });
+  }
+  return std::make_unique<Call>(Callers(aEntry), request);
 }
 
 Endpoint
@@ -251,6 +255,12 @@
   });
 }
 
+void
+JobsDeployment::PutKey(const std::string& aOrganisation, const std::string& aKey)
+{
+  Control("/key?organisation=" + aOrganisation + "&key=" + aKey);
+}
+
 void
 JobsDeployment::Control(const std::string& aTarget)
 {
--- a/tests/harness/JobsDeployment.h
+++ b/tests/harness/JobsDeployment.h
@@ -43,6 +43,12 @@
   /** Waits until an entry host shows a job in a state. */
   bool WaitForState(int aEntry, const std::string& aId, const std::string& aState);
 
+  /** Gives an organisation this API key in place of its last one. From the first call on, all calls
+   * need a key. */
+  void PutKey(const std::string& aOrganisation, const std::string& aKey);
+  /** Makes all calls carry this API key; empty: none. */
+  void UseKey(const std::string& aKey) { key_ = aKey; }
+
   /** Makes the stand-in inject a fault, such as "/store?mood=silent". */
   void Control(const std::string& aTarget);
   /** Returns the lines of the stand-in's record that begin with a word. */
@@ -76,6 +82,7 @@
 
   std::string network_;
   int entryHosts_;
+  std::string key_;
   std::unique_ptr<Process> mesh_;
   std::map<int, std::unique_ptr<Process>> entries_;
 };
--- a/tests/unit/CellAdviceTest.cpp
+++ b/tests/unit/CellAdviceTest.cpp
@@ -217,7 +217,7 @@
 {
   Submit(*cell_, "job0", Spec(1));
   BOOST_TEST(RunUntil([&] { return serial_.mostCalls_ == 1; }));
-  cell_->Cancel("job0", [](const Answer& /*aAnswer*/) {});
+  cell_->Cancel("job0", {}, [](const Answer& /*aAnswer*/) {});
   Submit(*cell_, "job1", Spec(1));
   BOOST_TEST(WaitForRun(worker_, first_));
 }
--- a/tests/unit/CellFixture.h
+++ b/tests/unit/CellFixture.h
@@ -124,7 +124,7 @@
   static std::string StateOf(const Cell& aCell, const std::string& aId)
   {
     std::string state = "none";
-    aCell.Show(aId, [&state](const Answer& aAnswer) {
+    aCell.Show(aId, {}, [&state](const Answer& aAnswer) {
       state = aAnswer.status_ == AnswerStatus::kFound ? jobs::ToString(aAnswer.state_)
                                                       : ToString(aAnswer.status_);
     });
--- a/tests/unit/CellProtocolTest.cpp
+++ b/tests/unit/CellProtocolTest.cpp
@@ -281,7 +281,7 @@
       return;
     }
     const std::string id = *accepted_.begin();
-    owners_.back().cell_->Cancel(id, [](const Answer& /*aAnswer*/) {});
+    owners_.back().cell_->Cancel(id, {}, [](const Answer& /*aAnswer*/) {});
     cancelled_.insert(id);
   }
 
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -94,7 +94,7 @@
   for (int i = 0; i < 100; ++i) {
     store_.InjectFault(CommitFault::kRefused);
   }
-  cell->Cancel("job1", [](const Answer&) {});
+  cell->Cancel("job1", {}, [](const Answer&) {});
   worker.End(first_, jobs::EndKind::kDone);
   RunFor(500ms);
   BOOST_TEST(worker.ended_.size() == 1U);
@@ -690,7 +690,7 @@
   Submit(*cell, "job1", Spec(2, true));
   BOOST_TEST(RunUntil([&] { return worker.running_.size() == 2; }));
   std::optional<AnswerStatus> status;
-  cell->Cancel("job1", [&status](const Answer& aAnswer) { status = aAnswer.status_; });
+  cell->Cancel("job1", {}, [&status](const Answer& aAnswer) { status = aAnswer.status_; });
   BOOST_TEST(RunUntil([&status] { return status.has_value(); }));
   BOOST_CHECK(*status == AnswerStatus::kCancelled);
   BOOST_TEST(RunUntil([&] { return worker.running_.empty(); }));
--- a/tests/unit/FakeWorkers.h
+++ b/tests/unit/FakeWorkers.h
@@ -181,7 +181,14 @@
   void WatchWorkers(bool /*aWanted*/) override {}
   bool HasConfiguration() const override { return true; }
   const jobs::Configuration& Configuration() const override { return configuration_; }
-  clock::Moment ConfigurationCheckedAt() const override { return {}; }
+  clock::Moment ConfigurationCheckedAt() const override { return checkedAt_; }
+  bool IsConfigurationWatchFailing() const override { return false; }
+  const node::StoredConfiguration& StoredConfiguration() const override { return stored_; }
+  bool OfferConfiguration(const node::StoredConfiguration& aConfiguration) override
+  {
+    stored_ = aConfiguration;
+    return true;
+  }
   bool HasWorkers() const override { return true; }
   const node::Registrations& Workers() const override { return registrations_; }
   const node::Waves& Waves() const override { return waves_; }
@@ -194,6 +201,8 @@
   void Unregister(const std::string& aId);
 
   jobs::Configuration configuration_;
+  node::StoredConfiguration stored_;
+  clock::Moment checkedAt_{};
   node::Registrations registrations_;
   node::Waves waves_;
 };
--- a/tests/unit/NodeProcessTest.cpp
+++ b/tests/unit/NodeProcessTest.cpp
@@ -223,6 +223,21 @@
   BOOST_TEST((*status == cells::AnswerStatus::kUnknownOutcome));
 }
 
+// A job that has left its cell is shown from its record, which must not bypass the check.
+BOOST_AUTO_TEST_CASE(GetState_RecordIsOfAnotherOrganisation_IsForbidden)
+{
+  store_.Put(cells::JobKey("job1"),
+             jobs::Encode(jobs::MakeEndRecord("svc", "q", jobs::JobState::kCompleted, 7, "ada")));
+  JobRequest request;
+  request.cell_ = "no-such-cell";
+  request.id_ = "job1";
+  request.organisation_ = "bo";
+  std::optional<cells::AnswerStatus> status;
+  process_->Handle(request, [&status](const auto& aAnswer) { status = aAnswer.status_; });
+  BOOST_TEST_REQUIRE(AnswerUntil([&status] { return status.has_value(); }));
+  BOOST_TEST((*status == cells::AnswerStatus::kForbidden));
+}
+
 BOOST_AUTO_TEST_CASE(Stop_EarlierHostRecordIsWrittenLate_StopIsAnnouncedAgain)
 {
   BOOST_TEST_REQUIRE(AnswerUntil([this] { return IsOwned() && process_->ClaimsInFlight() == 0; }));
--- a/tests/unit/WorkerRestartTest.cpp
+++ b/tests/unit/WorkerRestartTest.cpp
@@ -149,7 +149,7 @@
 {
   worker_.startFates_ = { OrderFate::kLate };
   SendStart();
-  cell_->Cancel("job1", [](const Answer& /*aAnswer*/) {});
+  cell_->Cancel("job1", {}, [](const Answer& /*aAnswer*/) {});
   BOOST_TEST(RunUntil([this] { return worker_.highestEndedRuns_.contains(first_); }));
   worker_.Reboot();
   worker_.RunLate();
