Cells check their grants before each start; the fleet's owner answers reports with grants

Cause: an organisation could run more than its quota over several cells.

Each worker counts what organisations use in one total of its cell, as runs and orphans come and go. Before each start, gang and speculative copy the cell compares its grant; a job without room gets the reason "quota", which is neither a failed search nor a job without room. The report carries the demand, and the fleet's owner answers with grants; without its lease it confirms grants for 3 s and then grants nothing. Shares are divided every 4 ms for each cell, to halve the number of divisions. Tasks held by their quota do not count as unschedulable.

WorkerStates follows the count on each way that a run can leave; FleetOwnership has an owner that has lost its lease.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -8,7 +8,7 @@
 #include "include/quetzal/jobs/JobRegistry.h"
 #include "include/quetzal/metrics/Registry.h"
 #include "include/quetzal/node/PlatformState.h"
-#include "include/quetzal/organisations/Demand.h"
+#include "include/quetzal/organisations/QuotaUse.h"
 #include "include/quetzal/placement/JobOrder.h"
 #include "include/quetzal/placement/Placement.h"
 #include "include/quetzal/placement/UnfitNeeds.h"
@@ -139,6 +139,13 @@
 
   CellReport Report();
 
+  /** Takes the grants of the answer to a report.
+   * @param aHasGrants whether the fleet's owner divides quotas; if not, the cell uses an equal part
+   * of each quota. */
+  void TakeGrants(std::int64_t aSequence,
+                  bool aHasGrants,
+                  const std::vector<organisations::Grant>& aGrants);
+
   /** Cordons these workers and uncordons all others. */
   void CordonWorkers(const std::set<std::string>& aWorkers);
 
@@ -233,6 +240,9 @@
   std::vector<placement::Candidate> Candidates(std::vector<WorkerEntry*>& aEntries) const;
   std::set<jobs::TaskId> OrphanedTasks() const;
 
+  /** The quotas in force, by organisation. */
+  using Quotas = std::map<std::string, workers::Capacity>;
+
   /** One placement round: the workers as they become fuller. */
   struct Round
   {
@@ -242,6 +252,7 @@
     /** Tasks with a run that is being stopped as an orphan: they are not started anywhere until it
      * has ended. */
     std::set<jobs::TaskId> orphaned_;
+    Quotas quotas_;
     int failedSearches_ = 0; ///< Searches of all candidates that found none for a task.
     int unplacedJobs_ = 0;   ///< In a row.
   };
@@ -269,6 +280,20 @@
                  const jobs::TaskId& aTask,
                  std::int64_t aRun,
                  WorkerEntry& aEntry);
+  Quotas QuotasInForce() const;
+  /** Returns whether every run that an earlier owner may have started is known; once true, always.
+   */
+  bool KnowsAllRuns();
+  /** Returns whether the grant for a job's organisation has room for the next task of a step, or
+   * for the whole of a gang. */
+  bool IsWithinQuota(jobs::Job& aJob, const jobs::StepSpec& aStep, const Round& aRound);
+  static workers::Run MakeCountedRun(const jobs::Job& aJob,
+                                     const jobs::StepSpec& aStep,
+                                     std::int64_t aRun,
+                                     workers::RunState aState);
+  std::vector<organisations::Demand> Demands(const Quotas& aQuotas, clock::Moment aNow);
+  void ReportQuotas(CellReport& aReport);
+  void LogQuotas(const Quotas& aQuotas, clock::Moment aNow);
   bool NeedsTicket(const jobs::Job& aJob) const;
   void RequestTickets(const std::string& aStep);
   std::string TicketFor(const jobs::TaskId& aTask, const std::string& aWorker) const;
@@ -314,6 +339,11 @@
   std::map<std::string, std::vector<std::function<void()>>> progressWaiters_; ///< By job.
   /** Called once the end of a job is stored, by job. */
   std::map<std::string, std::vector<std::function<void()>>> endWaiters_;
+  organisations::QuotaUse quotaUse_;
+  organisations::HeldGrants grants_;
+  std::map<std::string, std::int64_t> heldStarts_; ///< Since quotasLoggedAt_, by organisation.
+  clock::Moment quotasLoggedAt_{};
+  bool knowsAllRuns_ = false;
   PlacementTickets tickets_;
   StartWindow startWindow_;
   Pass pass_;
@@ -336,6 +366,11 @@
   QTimer periodicTimer_;
 };
 
+/** Returns what a task counts for its organisation's quota: all that its step names, also the
+ * processor time of a best-effort step. */
+workers::Capacity
+QuotaNeedOf(const jobs::StepSpec& aStep);
+
 /** Return the store's key of a job, and the prefix of a cell's progress records. */
 std::string
 JobKey(const std::string& aId);
--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -45,6 +45,9 @@
          LeaseLapseClock aSinceLeaseLapse,
          QObject* aParent);
 
+  /** Counts what organisations use on this worker in their use of the cell. @pre no runs yet. */
+  void CountUseIn(organisations::QuotaUse& aUse) { state_.quotaUse_ = &aUse; }
+
   /** Sends the first poll. */
   void BeginPolling();
 
--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -4,6 +4,7 @@
 #include "include/quetzal/fleet/OrderBudget.h"
 #include "include/quetzal/fleet/Planner.h"
 #include "include/quetzal/node/Membership.h"
+#include "include/quetzal/organisations/QuotaGrants.h"
 
 #include <QtCore/QObject>
 #include <QtCore/QTimer>
@@ -78,6 +79,9 @@
       forecasts_; ///< Demand in cores, with the time of each report.
   };
 
+  /** Answers the quota part of a report. */
+  void GrantQuotas(const cells::CellReport& aReport, CellOrders& aOrders, clock::Moment aNow);
+
   void RequestList();
   void OnList(const fleet::HostList& aList, clock::Moment aRequestedAt);
   bool IsTerminated(const std::string& aWorker, clock::Moment aFirstReported) const;
@@ -124,6 +128,8 @@
   bool handOverRead_ = false;
   std::optional<jobs::FleetHandOver> predecessorHandOver_; ///< Set if the fleet was handed over.
   fleet::OrderBudget orderBudget_;
+  organisations::QuotaTable quotaTable_;
+  clock::Moment leaseSeenAt_{}; ///< When the lease was last seen to be held.
 };
 
 /** The store's key of the fleet's latest hand-over record. */
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -96,7 +96,8 @@
                  const std::string& aBody,
                  const std::function<void(const std::string&)>& aReply);
   void SendReport(const std::string& aCell);
-  void ApplyOrders(const std::string& aCell, const CellOrders& aOrders);
+  /** @param aSequence of the report that the orders answer. */
+  void ApplyOrders(const std::string& aCell, std::int64_t aSequence, const CellOrders& aOrders);
   /** Returns the width of each cell that this host owns. */
   std::map<std::string, std::size_t> CellWidths() const;
   /** Returns this host's rank among the possible owners of a vacant cell. */
--- a/include/quetzal/workers/WorkerState.h
+++ b/include/quetzal/workers/WorkerState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/quetzal/clock/Time.h"
+#include "include/quetzal/organisations/QuotaUse.h"
 #include "include/quetzal/workers/WorkerPort.h"
 
 #include <map>
@@ -39,6 +40,8 @@
   bool confirmed_ = false; ///< The present incarnation is known to have carried the order out.
   /** Tail latency in ms of a latency-sensitive task; processor use in millicores of any other. */
   std::int64_t measurement_ = 0;
+  std::string organisation_; ///< Whose quota the run counts for; empty: nobody's.
+  Capacity quotaUse_;        ///< What it counts for.
 };
 
 /** Names one run. The tasks of a gang have the same run number. */
@@ -79,6 +82,7 @@
   std::map<RunKey, Run> orphans_;
   Capacity used_; ///< By all runs, including orphans.
   RunCounts counts_;
+  organisations::QuotaUse* quotaUse_ = nullptr; ///< Of the worker's cell; null: not counted.
   std::optional<ClockReading> clock_;
   /** Latest end that the lease may have, on the worker's clock: as sent by this owner, or by an
    * earlier one before the incarnation's first answer. */
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -200,6 +200,7 @@
                             this);
   const std::string id = aRegistration.id_;
   workers_[id].worker_ = worker;
+  worker->CountUseIn(quotaUse_);
   worker->SetCordoned(cordoned_.contains(id));
   connect(worker, &Worker::PollFinished, this, [this, id] {
     if (const auto entry = workers_.find(id); entry != workers_.end()) {
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
+#include "include/quetzal/organisations/Resources.h"
 
 #include <QtCore/QPointer>
 #include <algorithm>
@@ -33,6 +34,17 @@
 /** More than any worker has: the demand of a run of a job that is not known. */
 constexpr workers::Capacity kWholeWorker{ 1'000'000'000, 1'000'000'000, 1'000'000'000 };
 
+/** Returns the most that one task of a job counts for its quota. */
+workers::Capacity
+LargestNeedOf(const jobs::Job& aJob)
+{
+  workers::Capacity largest;
+  for (const jobs::StepSpec& step : aJob.spec_.steps_) {
+    largest = organisations::Larger(largest, QuotaNeedOf(step));
+  }
+  return largest;
+}
+
 } // namespace
 
 void
@@ -169,11 +181,19 @@
     workers::Run orphan;
     orphan.number_ = aTask.run_;
     orphan.need_ = kWholeWorker;
+    if (const jobs::EndedJob* ended = jobs_.FindEnded(aTask.task_.job_)) {
+      orphan.organisation_ = ended->organisation_;
+      orphan.quotaUse_ =
+        aEntry.worker_->Registration().capacity_; // At most; its step is not known.
+    } else if (job != nullptr) {
+      orphan.organisation_ = job->organisation_;
+      orphan.quotaUse_ = LargestNeedOf(*job);
+    }
     aEntry.worker_->StopOrphan(aTask.task_, orphan);
     return;
   }
   const jobs::StepSpec& step = job->spec_.steps_.at(static_cast<std::size_t>(aTask.task_.step_));
-  workers::Run run = placement::MakeRun(step, aTask.run_, workers::RunState::kRunning, Now());
+  workers::Run run = MakeCountedRun(*job, step, aTask.run_, workers::RunState::kRunning);
   if (task->phase_ != jobs::TaskPhase::kWaiting) {
     log::Warn("cell",
               "event=second-run-found cell=",
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -77,6 +77,7 @@
                                 entry.worker_->IsCordoned(),
                                 entry.worker_->IsSynchronized() });
   }
+  ReportQuotas(report);
   return report;
 }
 
@@ -86,7 +87,8 @@
   const clock::Moment now = Now();
   int unschedulable = 0;
   for (const auto& [id, job] : jobs_.Waiting()) {
-    if (job->longRunning_ && now - job->arrivedAt_ > kUnschedulableAge) {
+    const bool isHeldByQuota = job->waitReason_ == jobs::WaitReason::kQuota;
+    if (job->longRunning_ && !isHeldByQuota && now - job->arrivedAt_ > kUnschedulableAge) {
       unschedulable += job->waitingTasks_;
     }
   }
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -201,6 +201,10 @@
   Round round;
   round.now_ = now;
   round.orphaned_ = OrphanedTasks();
+  round.quotas_ = QuotasInForce();
+  if (!round.quotas_.empty()) {
+    KnowsAllRuns();
+  }
   round.candidates_ = Candidates(round.entries_);
   if (round.candidates_.empty()) {
     return;
@@ -218,7 +222,7 @@
     if (PlaceJob(job, round)) {
       round.unplacedJobs_ = 0;
       jobs_.Update(job);
-    } else {
+    } else if (job.waitReason_ != jobs::WaitReason::kQuota) {
       ++round.unplacedJobs_;
     }
     if (startsLeft_ <= 0) {
@@ -297,6 +301,10 @@
     aJob.waitReason_ = jobs::WaitReason::kNoRoom;
     return 0;
   }
+  if (!IsWithinQuota(aJob, spec, aRound)) {
+    aJob.waitReason_ = jobs::WaitReason::kQuota;
+    return 0;
+  }
   const std::string step = jobs::StepName(aJob.id_, aOccurrence, aStep);
   const bool needsTicket = NeedsTicket(aJob);
   const PlacementTickets::ByWorker* tickets =
@@ -330,6 +338,10 @@
     if (startsLeft_ <= 0) {
       break;
     }
+    if (!IsWithinQuota(aJob, spec, aRound)) {
+      aJob.waitReason_ = jobs::WaitReason::kQuota;
+      break;
+    }
     chosen = placement::ChooseNextWorker(spec, aRound.candidates_, use, chosen);
     if (!chosen) {
       NoteFailedSearch(aJob, spec, !needsTicket && spec.maxPerWorker_ <= 0, aRound);
@@ -406,7 +418,7 @@
   context_.metrics_->Add("quetzal_starts_total", { { "service", service_ } });
   AddStart(startWindow_, aRun, Now());
   --startsLeft_;
-  aEntry.worker_->Start(order, placement::MakeRun(spec, aRun, workers::RunState::kOrdered, Now()));
+  aEntry.worker_->Start(order, MakeCountedRun(aJob, spec, aRun, workers::RunState::kOrdered));
 }
 
 bool
@@ -515,6 +527,9 @@
     if (aRound.orphaned_.contains(id)) {
       continue;
     }
+    if (!IsWithinQuota(aJob, spec, aRound)) {
+      return;
+    }
     placement::StepUse use = UseOf(spec, step.tasks_, aRound.candidates_);
     for (const placement::Candidate& candidate : aRound.candidates_) {
       use.excluded_.push_back(candidate.id_ == task.worker_ ||
@@ -543,7 +558,7 @@
     const workers::StartOrder order = OrderFor(aJob, id, run, worker);
     jobs::PlaceCopy(aJob, id, worker, run, aRound.now_);
     AddStart(startWindow_, run, aRound.now_);
-    entry.worker_->Start(order, placement::MakeRun(spec, run, workers::RunState::kOrdered, Now()));
+    entry.worker_->Start(order, MakeCountedRun(aJob, spec, run, workers::RunState::kOrdered));
   }
 }
 
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -40,6 +40,23 @@
  * still read. */
 constexpr double kReadRateShare = 0.5;
 
+/** After its lease has ended, an owner confirms grants for this time. With their validity it ends
+ * before a new owner raises any. */
+constexpr clock::Milliseconds kUnleasedGrantTime{ 3'000 };
+
+/** Returns the cells of a configuration: one for each pool that runs tasks. */
+std::vector<std::string>
+CellsOf(const jobs::Configuration& aConfiguration)
+{
+  std::vector<std::string> cells;
+  for (const jobs::Service& service : aConfiguration.services_) {
+    if (!service.standby_) {
+      cells.push_back(service.name_);
+    }
+  }
+  return cells;
+}
+
 std::string
 WaveKey(std::int64_t aWave)
 {
@@ -155,9 +172,42 @@
   }
   serviceReport.firstReported_ = std::move(firstReported);
   serviceReport.answeredCordons_ = orders.cordoned_;
+  GrantQuotas(aReport, orders, now);
   return orders;
 }
 
+void
+FleetManager::GrantQuotas(const cells::CellReport& aReport, CellOrders& aOrders, clock::Moment aNow)
+{
+  aOrders.hasGrants_ = true;
+  const jobs::Configuration& configuration = platformState_.Configuration();
+  const organisations::QuotaPlan plan{ organisations::QuotasOf(configuration.organisations_),
+                                       CellsOf(configuration) };
+  const organisations::CellDemand demand{ aReport.service_,
+                                          aReport.fence_,
+                                          aReport.sequence_,
+                                          aReport.isSynchronized_,
+                                          aReport.organisations_ };
+  if (ownership_.isHeld_()) {
+    leaseSeenAt_ = aNow;
+  } else if (!plan.quotas_.empty()) {
+    // There may be another owner, which does not know what this one grants.
+    if (aNow - leaseSeenAt_ < kUnleasedGrantTime) {
+      aOrders.grants_ = organisations::ConfirmGrants(demand);
+    }
+    return;
+  }
+  const bool wasFrozen = quotaTable_.isFrozen_;
+  const bool wasBegun = quotaTable_.begunAt_ != clock::Moment{};
+  aOrders.grants_ = organisations::GrantQuotas(quotaTable_, plan, demand, aNow);
+  if (!wasBegun && quotaTable_.isFrozen_ && !plan.quotas_.empty()) {
+    log::Info("fleet", "event=quota-frozen quotas=", plan.quotas_.size());
+  }
+  if (wasFrozen && !quotaTable_.isFrozen_) {
+    log::Info("fleet", "event=quota-thawed cells=", quotaTable_.cells_.size());
+  }
+}
+
 bool
 FleetManager::IsTerminated(const std::string& aWorker, clock::Moment aFirstReported) const
 {
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -363,7 +363,7 @@
   }
   const cells::CellReport report = owned.cell_->Report();
   if (fleet_ != nullptr) {
-    ApplyOrders(aCell, fleet_->OnReport(report));
+    ApplyOrders(aCell, report.sequence_, fleet_->OnReport(report));
     return;
   }
   const auto owner = membership_.OwnerOf(kFleetCell);
@@ -376,7 +376,7 @@
               PeerMethod::kReport,
               jobs::Encode(ToCall(report)),
               kReportTimeout,
-              [this, aCell](const CallResult& aResult) {
+              [this, aCell, sequence = report.sequence_](const CallResult& aResult) {
                 const auto ownedCell = cells_.find(aCell);
                 if (ownedCell == cells_.end()) {
                   return;
@@ -386,15 +386,18 @@
                 const bool isAnswered = aResult.failure_ == CallFailure::kNone &&
                                         jobs::Decode(aResult.body_, reply) && reply.owned_;
                 if (const auto orders = isAnswered ? FromReply(reply) : std::nullopt) {
-                  ApplyOrders(aCell, *orders);
+                  ApplyOrders(aCell, sequence, *orders);
                 }
               });
 }
 
 void
-NodeProcess::ApplyOrders(const std::string& aCell, const CellOrders& aOrders)
+NodeProcess::ApplyOrders(const std::string& aCell,
+                         std::int64_t aSequence,
+                         const CellOrders& aOrders)
 {
   cells::Cell& cell = *cells_.at(aCell).cell_;
+  cell.TakeGrants(aSequence, aOrders.hasGrants_, aOrders.grants_);
   cell.MarkTerminated(aOrders.terminated_);
   cell.CordonWorkers(aOrders.cordoned_);
   for (const std::string& worker : aOrders.evict_) {
--- a/src/organisations/QuotaGrants.cpp
+++ b/src/organisations/QuotaGrants.cpp
@@ -12,7 +12,7 @@
 
 /** Shares are divided anew at this interval for each cell that has any, not at each report. This
  * bounds the processor time: it grows with the square of the number of cells otherwise. */
-constexpr clock::Milliseconds kDivisionIntervalPerCell{ 2 };
+constexpr clock::Milliseconds kDivisionIntervalPerCell{ 4 };
 /** A cell gets headroom for an organisation for this time after it used or wanted anything.
  * Headroom for all would put every organisation into every report. */
 constexpr clock::Milliseconds kInterestTime{ 10'000 };
--- a/src/workers/WorkerState.cpp
+++ b/src/workers/WorkerState.cpp
@@ -18,6 +18,15 @@
   aState.counts_.longRunning_ += aRun.longRunning_ ? aSign : 0;
   aState.counts_.latencySensitive_ += aRun.latencyTargetMs_ > 0 ? aSign : 0;
   aState.counts_.bestEffort_ += aRun.bestEffort_ ? aSign : 0;
+  if (aState.quotaUse_ != nullptr) {
+    // Only a run that this owner has ordered has a fence.
+    organisations::CountRun(*aState.quotaUse_,
+                            aRun.organisation_,
+                            aRun.quotaUse_,
+                            aRun.fence_ != 0,
+                            aSign > 0 ? organisations::UseChange::kAdded
+                                      : organisations::UseChange::kRemoved);
+  }
 }
 
 double
@@ -85,11 +94,15 @@
 std::map<jobs::TaskId, Run>
 TakeRuns(WorkerState& aState)
 {
+  for (const auto& [task, run] : aState.runs_) {
+    AddToTotals(aState, run, -1);
+  }
+  for (const auto& [key, orphan] : aState.orphans_) {
+    AddToTotals(aState, orphan, -1);
+  }
+  aState.orphans_.clear();
   std::map<jobs::TaskId, Run> runs;
   runs.swap(aState.runs_);
-  aState.orphans_.clear();
-  aState.used_ = {};
-  aState.counts_ = {};
   return runs;
 }
 
--- a/tests/unit/FleetManagerTest.cpp
+++ b/tests/unit/FleetManagerTest.cpp
@@ -263,6 +263,29 @@
   }
 }
 
+// An owner without its lease may have a successor, which does not know what it grants.
+BOOST_AUTO_TEST_CASE(Quota_OwnerHasLostItsLease_GrantsAreNotRaised)
+{
+  feed_.configuration_.organisations_ = { { "ada", 1, { 8'000, 0, 0 } } };
+  const auto owner = Begin("b", 20, 10);
+  cells::CellReport report;
+  report.service_ = "svc";
+  report.fence_ = 5;
+  report.sequence_ = 1;
+  report.isSynchronized_ = true;
+  report.organisations_ = { { "ada", {}, { 6'000, 0, 0 }, { 1'000, 0, 0 }, {}, 0 } };
+  const node::CellOrders first = owner->OnReport(report);
+  BOOST_TEST(first.hasGrants_);
+  BOOST_REQUIRE(first.grants_.size() == 1U);
+  BOOST_TEST(first.grants_.front().limit_.cpu_ >= 6'000);
+  leaseHeld_ = false;
+  report.sequence_ = 2;
+  report.organisations_.front().held_ = { 2'000, 0, 0 };
+  const node::CellOrders second = owner->OnReport(report);
+  BOOST_REQUIRE(second.grants_.size() == 1U);
+  BOOST_TEST(second.grants_.front().limit_.cpu_ == 2'000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/unit/WorkerStateTest.cpp
+++ b/tests/unit/WorkerStateTest.cpp
@@ -178,6 +178,36 @@
   BOOST_TEST(RecordedUpTo(state) == 5);
 }
 
+// A run that leaves the worker on any way must leave the count, or its quota shrinks for ever.
+BOOST_AUTO_TEST_CASE(QuotaUse_RunsComeReplacedAndGo_FollowsThem)
+{
+  organisations::QuotaUse use;
+  WorkerState state;
+  state.quotaUse_ = &use;
+  Run run = MakeRun(1, 700);
+  run.organisation_ = "ada";
+  run.quotaUse_ = { 700, 10, 0 };
+  run.fence_ = 3;
+  AddRun(state, task_, run);
+  run.number_ = 2;
+  run.quotaUse_.cpu_ = 500;
+  AddRun(state, task_, run);
+  BOOST_TEST(UseOf(use, "ada", false).cpu_ == 500);
+  run.number_ = 3;
+  run.fence_ = 0;
+  AddOrphan(state, task_, run);
+  BOOST_TEST(UseOf(use, "ada", true).cpu_ == 1'000);
+  BOOST_TEST(UseOf(use, "ada", false).cpu_ == 500);
+  TakeRuns(state);
+  BOOST_TEST(use.organisations_.empty());
+  run.confirmed_ = true;
+  AddRun(state, task_, run);
+  run.number_ = 4;
+  AddOrphan(state, task_, run);
+  TakeConfirmedRuns(state, now_);
+  BOOST_TEST(use.organisations_.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
