Settings memory_mb and max_descriptors; decisions for limits on callers

Hostile callers can make a process exceed its host's memory and descriptors. The tests for this need settings that name both, which the settings reader refused as unknown keys.

quetzal-jobd and quetzal-entryd read and check the keys, and do not use them yet. http/ gets the decisions that will use them: Eviction, OccupancyLimits, Framing, TransferRate, and Occupancy, which applies them. The limit of 64 steps moves to jobs/Job.h, where the reader of a body can use it.

No tests were run on this commit.

--- a/include/quetzal/entry/EntrySettings.h
+++ b/include/quetzal/entry/EntrySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "include/quetzal/http/OccupancyLimits.h"
 #include "include/quetzal/http/ServerConnection.h"
 #include "include/quetzal/settings/Node.h"
 
@@ -30,6 +31,7 @@
   settings::Endpoint platform_;
   std::vector<EntryHost> entryHosts_; ///< All entry hosts, this one included.
   http::ServerLimits limits_;
+  http::HostLimits hostLimits_;
   int maxCallers_ = 0; ///< Bound on open connections of callers.
   /** In a planned stop, the time from when the health check fails until listening stops. */
   std::chrono::milliseconds stopNotice_{ 0 };
--- a/include/quetzal/http/Reader.h
+++ b/include/quetzal/http/Reader.h
@@ -30,8 +30,9 @@
   kMalformed,
   kHeaderTooLarge,
   kBodyTooLarge,
-  kUnframed,  ///< Only the end of the connection marks the end of the response.
-  kTruncated, ///< The connection ended inside the message.
+  kFramingTooLarge, ///< The framing of a chunked body is out of proportion to its content.
+  kUnframed,        ///< Only the end of the connection marks the end of the response.
+  kTruncated,       ///< The connection ended inside the message.
 };
 
 /** Parses successive requests from a stream of bytes. */
@@ -53,6 +54,15 @@
    * most once for each request. */
   bool TakeExpectation();
 
+  /** Returns whether the header is complete and the body is not. */
+  bool IsInBody() const;
+
+  /** Returns the bytes allocated for the unfinished request. */
+  std::size_t HeldBytes() const;
+
+  /** Frees the unfinished request. The reader must not be fed the rest of it. */
+  void Discard();
+
 private:
   struct State;
   std::unique_ptr<State> state_;
--- a/include/quetzal/http/Server.h
+++ b/include/quetzal/http/Server.h
@@ -21,7 +21,10 @@
   Q_OBJECT
 
 public:
-  explicit Server(const ServerLimits& aLimits, QObject* aParent = nullptr);
+  /** @param aOccupancy limits what the connections hold; null: no such limit. */
+  explicit Server(const ServerLimits& aLimits,
+                  QObject* aParent = nullptr,
+                  Occupancy* aOccupancy = nullptr);
 
   /** Starts listening. @throws ListenError. */
   void Listen(const settings::Endpoint& aEndpoint);
@@ -45,6 +48,7 @@
   void Accept();
 
   ServerLimits limits_;
+  Occupancy* occupancy_;
   QTcpServer listener_;
 };
 
--- a/include/quetzal/http/ServerConnection.h
+++ b/include/quetzal/http/ServerConnection.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "include/quetzal/clock/Deadline.h"
+#include "include/quetzal/http/Occupancy.h"
 #include "include/quetzal/http/Reader.h"
+#include "include/quetzal/http/TransferRate.h"
 
 #include <QtCore/QByteArray>
 #include <QtCore/QObject>
@@ -17,6 +19,7 @@
   Limits message_;
   std::chrono::milliseconds requestTimeout_{ 10'000 }; ///< From a request's first byte to its last.
   std::chrono::milliseconds idleTimeout_{ 60'000 };    ///< Between requests.
+  TransferRate bodyRate_;
 };
 
 /** One accepted connection. It handles one request at a time, in order of arrival, and owns its
@@ -26,7 +29,12 @@
   Q_OBJECT
 
 public:
-  ServerConnection(QTcpSocket* aSocket, const ServerLimits& aLimits, QObject* aParent);
+  /** @param aOccupancy limits what all connections hold together; null: no such limit. */
+  ServerConnection(QTcpSocket* aSocket,
+                   const ServerLimits& aLimits,
+                   QObject* aParent,
+                   Occupancy* aOccupancy = nullptr);
+  ~ServerConnection() override;
 
   /** Sends the response to the current request. Does nothing if the caller has left,
    * because there is no current request then. */
@@ -43,6 +51,9 @@
    * A new connection has a short time for its first request, which may be on its way. */
   void CloseIfIdle();
 
+  /** If part of a request has arrived, frees it and emits RequestEvicted(). */
+  void EvictRequest();
+
   /** If part of a request has arrived, emits RequestTooSlow(). */
   void EndReading();
 
@@ -65,6 +76,9 @@
   /** The request did not arrive within ServerLimits::requestTimeout_. The receiver responds; the
    * connection is then closed. */
   void RequestTooSlow();
+  /** The request was discarded because the process holds too many bytes. The receiver responds; the
+   * connection is then closed. */
+  void RequestEvicted();
   /** The caller closed the connection before its request was answered. */
   void CallerLeft();
 
@@ -78,17 +92,31 @@
   };
 
   void Read();
+  /** Waits for the rest of a request. */
+  void AwaitRest(bool aIsFirstPart);
+  /** Frees the unfinished request, whose refusal is the last response. */
+  void Discard();
+  void SetPhase(Phase aPhase);
+  /** Tells the occupancy what the connection holds. */
+  void ReportOccupancy();
+  std::size_t HeldBytes() const;
+  void SetRateDeadline();
+  /** Returns whether an unfinished request has exceeded its time or is below its rate. */
+  bool IsTooSlow() const;
   void CloseUnlessReadable();
   void Linger();
   void OnTimeout();
   void OnDisconnected();
 
   QTcpSocket* socket_;
+  Occupancy* occupancy_;
   ServerLimits limits_;
   RequestReader reader_;
   QByteArray readBuffer_;
   clock::Deadline deadline_;
   Phase phase_ = Phase::kIdle;
+  clock::Moment phaseSince_{};
+  std::size_t bytesInWindow_ = 0; ///< Received since the rate was last checked.
   bool isHead_ = false;
   bool keepAlive_ = true;
   bool closeAfterAnswer_ = false;
--- a/include/quetzal/jobs/Job.h
+++ b/include/quetzal/jobs/Job.h
@@ -14,6 +14,9 @@
 /** The last millisecond of the year 9999. Sums of times up to it cannot overflow. */
 inline constexpr std::int64_t kMaxUnixMs = 253'402'300'799'999;
 
+/** The most steps that a job may have. */
+inline constexpr std::size_t kMaxSteps = 64;
+
 /** A step's resource requests for each task, and its dependencies on other steps. */
 struct StepSpec
 {
--- a/include/quetzal/node/NodeSettings.h
+++ b/include/quetzal/node/NodeSettings.h
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/cells/Worker.h"
 #include "include/quetzal/clock/Time.h"
+#include "include/quetzal/http/OccupancyLimits.h"
 #include "include/quetzal/settings/Node.h"
 
 #include <optional>
@@ -35,6 +36,7 @@
   }; ///< Time from an order to move a host until its worker has registered.
   double processorShare_ = 1; ///< Cores that this process may use.
   cells::LeaseTimes leaseTimes_;
+  http::HostLimits hostLimits_;
 
   bool operator==(const NodeSettings&) const = default;
 };
--- a/src/entry/CallerServer.cpp
+++ b/src/entry/CallerServer.cpp
@@ -22,6 +22,7 @@
       return Reason::kBodyTooLarge;
     case http::ReadError::kNone:
     case http::ReadError::kMalformed:
+    case http::ReadError::kFramingTooLarge:
     case http::ReadError::kUnframed:
     case http::ReadError::kTruncated:
       break;
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -15,6 +15,10 @@
 constexpr std::int64_t kMaxBodyBytes = 8 * 1024 * 1024;
 constexpr std::int64_t kMaxCallers = 50'000;
 constexpr int kDefaultCallers = 4'000;
+constexpr std::int64_t kMinMemoryMb = 16;
+constexpr std::int64_t kMaxMemoryMb = 1'024 * 1'024;
+constexpr std::int64_t kMinDescriptors = 64;
+constexpr std::int64_t kMaxDescriptors = 1'048'576;
 constexpr std::int64_t kMinStopSeconds = 2;
 constexpr std::int64_t kMaxStopSeconds = 3'600;
 constexpr std::int64_t kDefaultStopSeconds = 30;
@@ -66,6 +70,19 @@
   }
 }
 
+http::HostLimits
+ReadHostLimits(const Node& aRoot)
+{
+  http::HostLimits limits;
+  if (const auto memory = aRoot.Optional("memory_mb")) {
+    limits.memoryMb_ = memory->Integer(kMinMemoryMb, kMaxMemoryMb);
+  }
+  if (const auto descriptors = aRoot.Optional("max_descriptors")) {
+    limits.descriptors_ = descriptors->Integer(kMinDescriptors, kMaxDescriptors);
+  }
+  return limits;
+}
+
 } // namespace
 
 EntrySettings
@@ -83,7 +100,9 @@
                    "stop_notice_ms",
                    "stop_time_s",
                    "host_list_interval_ms",
-                   "claim_retention_s" });
+                   "claim_retention_s",
+                   "memory_mb",
+                   "max_descriptors" });
   EntrySettings settings;
   settings.name_ = root.Name("name");
   settings.availabilityZone_ = root.Name("availability_zone");
@@ -103,6 +122,7 @@
   settings.hostListInterval_ = root.Milliseconds("host_list_interval_ms", 50ms, 1min, 1s);
   settings.claimRetention_ = std::chrono::seconds(root.Integer(
     "claim_retention_s", kMinRetentionSeconds, kMaxRetentionSeconds, kDefaultRetentionSeconds));
+  settings.hostLimits_ = ReadHostLimits(root);
   return settings;
 }
 
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -15,9 +15,10 @@
 {
 }
 
-Server::Server(const ServerLimits& aLimits, QObject* aParent)
+Server::Server(const ServerLimits& aLimits, QObject* aParent, Occupancy* aOccupancy)
   : QObject(aParent)
   , limits_(aLimits)
+  , occupancy_(aOccupancy)
 {
   listener_.setListenBacklogSize(kListenBacklog);
   listener_.setMaxPendingConnections(kListenBacklog);
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -21,9 +21,11 @@
 
 ServerConnection::ServerConnection(QTcpSocket* aSocket,
                                    const ServerLimits& aLimits,
-                                   QObject* aParent)
+                                   QObject* aParent,
+                                   Occupancy* aOccupancy)
   : QObject(aParent)
   , socket_(aSocket)
+  , occupancy_(aOccupancy)
   , limits_(aLimits)
   , reader_(aLimits.message_)
 {
@@ -36,6 +38,8 @@
   deadline_.Set(limits_.idleTimeout_);
 }
 
+ServerConnection::~ServerConnection() = default;
+
 void
 ServerConnection::Read()
 {
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -6,7 +6,6 @@
 namespace quetzal::jobs {
 namespace {
 
-constexpr int kMaxSteps = 64;
 constexpr int kMaxTasks = 4'096;
 constexpr std::int64_t kMaxAmount = 1'000'000'000;
 constexpr std::int64_t kMaxDurationMs = 7LL * 24 * 3'600 * 1'000;
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -14,6 +14,10 @@
 constexpr double kMaxRatePerSecond = 1e6;
 constexpr double kMaxProcessors = 1'024;
 constexpr double kMaxSeconds = 3'600;
+constexpr std::int64_t kMinMemoryMb = 16;
+constexpr std::int64_t kMaxMemoryMb = 1'024 * 1'024;
+constexpr std::int64_t kMinDescriptors = 64;
+constexpr std::int64_t kMaxDescriptors = 1'048'576;
 /** Lease time of tasks, unless the platform's limit is shorter. */
 constexpr clock::Milliseconds kWantedLease{ 5'000 };
 /** Margin below the platform's longest lease; the platform shortens leases that exceed its limit.
@@ -36,6 +40,19 @@
   return clock::Milliseconds(std::llround(value));
 }
 
+http::HostLimits
+ReadHostLimits(const Node& aRoot)
+{
+  http::HostLimits limits;
+  if (const auto memory = aRoot.Optional("memory_mb")) {
+    limits.memoryMb_ = memory->Integer(kMinMemoryMb, kMaxMemoryMb);
+  }
+  if (const auto descriptors = aRoot.Optional("max_descriptors")) {
+    limits.descriptors_ = descriptors->Integer(kMinDescriptors, kMaxDescriptors);
+  }
+  return limits;
+}
+
 } // namespace
 
 NodeSettings
@@ -58,7 +75,9 @@
                    "retention_s",
                    "move_s",
                    "maintenance_s",
-                   "processor_share" });
+                   "processor_share",
+                   "memory_mb",
+                   "max_descriptors" });
   NodeSettings settings;
   settings.name_ = root.Name("name");
   settings.address_ = root.Name("address");
@@ -90,6 +109,7 @@
   const clock::Milliseconds longest = Milliseconds(root, "longest_lease_ms");
   settings.leaseTimes_.longest_ = longest;
   settings.leaseTimes_.lease_ = std::max(std::min(kWantedLease, longest - kLeaseMargin), 1'000ms);
+  settings.hostLimits_ = ReadHostLimits(root);
   return settings;
 }
 
--- a/tests/harness/JobsDeployment.cpp
+++ b/tests/harness/JobsDeployment.cpp
@@ -66,9 +66,13 @@
 
 } // namespace
 
-JobsDeployment::JobsDeployment(int aEntryHosts, int aWorkers, int aTaskMs)
+JobsDeployment::JobsDeployment(int aEntryHosts,
+                               int aWorkers,
+                               int aTaskMs,
+                               std::string aEntrySettings)
   : network_(MakeNetwork())
   , entryHosts_(aEntryHosts)
+  , entrySettings_(std::move(aEntrySettings))
 {
   mesh_ =
     std::make_unique<Process>("standin-mesh",
@@ -104,7 +108,8 @@
        << ":8621\"}\nmachines: {address: \"" << platform
        << ":8622\", orders_per_second: 64, reads_per_second: 64}\n"
        << "stop_time_s: 6\nlongest_lease_ms: 6000\nfleet_order_gap_ms: 3000\nretention_s: 120\n"
-       << "move_s: 1.5\nmaintenance_s: 2\nprocessor_share: 0.5\n";
+       << "move_s: 1.5\nmaintenance_s: 2\nprocessor_share: 0.5\n"
+       << entrySettings_;
   return text.str();
 }
 
--- a/tests/harness/JobsDeployment.h
+++ b/tests/harness/JobsDeployment.h
@@ -12,7 +12,8 @@
 class JobsDeployment
 {
 public:
-  JobsDeployment(int aEntryHosts, int aWorkers, int aTaskMs);
+  /** @param aEntrySettings further lines of each entry host's settings. */
+  JobsDeployment(int aEntryHosts, int aWorkers, int aTaskMs, std::string aEntrySettings = {});
   ~JobsDeployment();
 
   void StartEntry(int aIndex);
@@ -82,6 +83,7 @@
 
   std::string network_;
   int entryHosts_;
+  std::string entrySettings_;
   std::string key_;
   std::unique_ptr<Process> mesh_;
   std::map<int, std::unique_ptr<Process>> entries_;
--- a/tests/harness/Process.cpp
+++ b/tests/harness/Process.cpp
@@ -1,5 +1,6 @@
 #include "tests/harness/Process.h"
 
+#include <QtCore/QDir>
 #include <QtCore/QFile>
 #include <QtCore/QStringList>
 #include <csignal>
@@ -87,6 +88,14 @@
   return parts.value(1).toLongLong() * ::sysconf(_SC_PAGESIZE);
 }
 
+std::size_t
+Process::OpenDescriptors() const
+{
+  const QDir directory(QString("/proc/%1/fd").arg(Id()));
+  return static_cast<std::size_t>(
+    directory.entryList(QDir::NoDotAndDotDot | QDir::AllEntries | QDir::System).size());
+}
+
 std::chrono::milliseconds
 Process::ProcessorTime() const
 {
--- a/tests/harness/Process.h
+++ b/tests/harness/Process.h
@@ -30,6 +30,9 @@
   /** Returns the resident memory in bytes. */
   std::int64_t ResidentBytes() const;
 
+  /** Returns how many descriptors are open. */
+  std::size_t OpenDescriptors() const;
+
   /** Returns the processor time that the process has used so far, in user and in system mode. */
   std::chrono::milliseconds ProcessorTime() const;
 
