Limits on what hostile callers hold

Endless trailers stayed in the read buffer without a limit, a body's announced length was allocated at once, and nothing limited what all connections held together.

Trailers count as header; chunk framing beyond 1,024 bytes and 8 for each byte of content is refused. A body's memory grows with what arrives. Unfinished requests may hold a quarter of memory_mb; beyond it the one that holds most is answered with 503. Callers may have half of max_descriptors as connections; beyond it the one quiet longest is closed. A body must bring 128 bytes a second in each 5 s.

Clients and bounds of the process tests are unchanged.

--- a/include/quetzal/entry/CallerServer.h
+++ b/include/quetzal/entry/CallerServer.h
@@ -64,6 +64,7 @@
   bool stopping_ = false;
   process::StopSchedule stopSchedule_;
   clock::Moment stopStartedAt_{};
+  http::Occupancy occupancy_;
   // Last member: its connections are destroyed first, and their handlers use the members above.
   http::Server server_;
 };
--- a/src/entry/CallerServer.cpp
+++ b/src/entry/CallerServer.cpp
@@ -30,6 +30,18 @@
   return Reason::kMalformedRequest;
 }
 
+/** Without a descriptor limit in the settings, only the limit on callers counts; it refuses the
+ * newest connection. */
+http::OccupancyLimits
+OccupancyLimitsOf(const EntrySettings& aSettings)
+{
+  http::OccupancyLimits limits = http::MakeOccupancyLimits(aSettings.hostLimits_);
+  if (!aSettings.hostLimits_.descriptors_) {
+    limits.connections_ = static_cast<std::size_t>(aSettings.maxCallers_) + 1;
+  }
+  return limits;
+}
+
 /** Returns the response with header fields added that tell the caller the outcome and, unless the
  * request was answered, the reason. */
 http::Response
@@ -65,7 +77,8 @@
   , settings_(aSettings)
   , dispatcher_(aDispatcher)
   , metrics_(aMetrics)
-  , server_(aSettings.limits_)
+  , occupancy_(OccupancyLimitsOf(aSettings), aMetrics)
+  , server_(aSettings.limits_, nullptr, &occupancy_)
 {
   connect(&server_, &http::Server::ConnectionArrived, this, &CallerServer::OnConnection);
   connect(&dispatcher_, &Dispatcher::Finished, this, &CallerServer::OnFinished);
@@ -102,6 +115,9 @@
   connect(aConnection, &http::ServerConnection::RequestTooSlow, this, [this, aConnection] {
     Refuse(aConnection, Reason::kSlowCaller);
   });
+  connect(aConnection, &http::ServerConnection::RequestEvicted, this, [this, aConnection] {
+    Refuse(aConnection, Reason::kTooManyCallers);
+  });
   connect(aConnection, &http::ServerConnection::CallerLeft, this, [this, aConnection] {
     const auto id = lastRequestIds_.find(aConnection);
     if (id != lastRequestIds_.end()) {
--- a/src/http/Reader.cpp
+++ b/src/http/Reader.cpp
@@ -1,8 +1,11 @@
 #include "include/quetzal/http/Reader.h"
 
+#include "include/quetzal/http/Framing.h"
 #include "include/quetzal/http/Status.h"
+#include "src/http/RequestBody.h"
 
 #include <QtCore/QByteArray>
+#include <algorithm>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
@@ -15,6 +18,38 @@
 /** Responses with a status below this one are interim: the final response follows them. */
 constexpr unsigned kFirstFinalStatus = 200;
 
+/** What the parser allocates for each field beside its bytes: a node of its list and tree. */
+constexpr std::size_t kFieldBytes = 96;
+
+/** What has been read of one message. */
+struct Progress
+{
+  std::size_t headerBytesLeft_ = 0; ///< How many more bytes header and trailers may have.
+  std::size_t headerBytes_ = 0;
+  std::size_t headerLines_ = 0;
+  ChunkedBytes chunked_;
+};
+
+std::size_t
+CountLines(const QByteArray& aBytes, std::size_t aSize)
+{
+  const auto end = aBytes.begin() + static_cast<qsizetype>(aSize);
+  return static_cast<std::size_t>(std::count(aBytes.begin(), end, '\n'));
+}
+
+/** Counts header bytes that have been read. @return whether they are within the limit. */
+bool
+CountHeader(Progress& aProgress, std::size_t aBytes, std::size_t aLines)
+{
+  if (aBytes > aProgress.headerBytesLeft_) {
+    return false;
+  }
+  aProgress.headerBytesLeft_ -= aBytes;
+  aProgress.headerBytes_ += aBytes;
+  aProgress.headerLines_ += aLines;
+  return true;
+}
+
 ReadError
 ErrorOf(const boost::system::error_code& aError)
 {
@@ -52,40 +87,71 @@
   return !single || !boost::beast::iequals(fields.first->value(), "chunked");
 }
 
+/** Counts bytes of a body that have been read. The last chunk and the trailers count as header.
+ * @return the limit that they exceed. */
+ReadError
+CountBody(Progress& aProgress, std::size_t aUsed, std::size_t aContent, bool aIsDone)
+{
+  const std::size_t framing = aUsed - std::min(aUsed, aContent);
+  aProgress.chunked_.content_ += aContent;
+  if (framing > aProgress.headerBytesLeft_) {
+    return ReadError::kHeaderTooLarge;
+  }
+  if (aIsDone) {
+    CountHeader(aProgress, framing, 0);
+    return ReadError::kNone;
+  }
+  aProgress.chunked_.framing_ += framing;
+  return IsFramingExcessive(aProgress.chunked_) ? ReadError::kFramingTooLarge : ReadError::kNone;
+}
+
 /** Feeds bytes to a parser until it is done, fails or has consumed all of them. The parser is not
  * set to eager, because an eager parser goes on to parse the body even if Content-Length in the
- * header exceeds the body limit.
- * @param aHeaderBytesLeft how many more bytes the header may have. The parser does not enforce its
- * own header limit if the whole header arrives in one piece. */
+ * header exceeds the body limit. The parser does not enforce its own header limit if the whole
+ * header arrives in one piece, and has none for trailers and chunk extensions: it leaves them in
+ * @p aBytes until they are complete. */
 template<typename Parser>
 ReadState
-Parse(Parser& aParser, QByteArray& aBytes, ReadError& aError, std::size_t& aHeaderBytesLeft)
+Parse(Parser& aParser, QByteArray& aBytes, ReadError& aError, Progress& aProgress)
 {
+  const auto fail = [&aError](ReadError aCause) {
+    aError = aCause;
+    return ReadState::kFailed;
+  };
   while (!aParser.is_done()) {
     if (aBytes.isEmpty()) {
       return ReadState::kNeedsMore;
     }
     boost::system::error_code error;
     const bool inHeader = !aParser.is_header_done();
+    const std::size_t sizeBefore = aParser.get().body().size();
     const std::size_t used = aParser.put(
       boost::asio::const_buffer(aBytes.constData(), static_cast<std::size_t>(aBytes.size())),
       error);
+    if (inHeader) {
+      if (!CountHeader(aProgress, used, CountLines(aBytes, used))) {
+        return fail(ReadError::kHeaderTooLarge);
+      }
+    } else if (aParser.chunked()) {
+      const std::size_t content = aParser.get().body().size() - sizeBefore;
+      const ReadError excess = CountBody(aProgress, used, content, aParser.is_done());
+      if (excess != ReadError::kNone) {
+        return fail(excess);
+      }
+    }
     aBytes.remove(0, static_cast<qsizetype>(used));
-    if (inHeader && used > aHeaderBytesLeft) {
-      aError = ReadError::kHeaderTooLarge;
-      return ReadState::kFailed;
+    const bool isWaiting = error == beast_http::error::need_more;
+    if (isWaiting && static_cast<std::size_t>(aBytes.size()) > aProgress.headerBytesLeft_) {
+      return fail(ReadError::kHeaderTooLarge);
     }
-    aHeaderBytesLeft -= inHeader ? used : 0;
-    if (error == beast_http::error::need_more) {
+    if (isWaiting) {
       return ReadState::kNeedsMore;
     }
     if (aParser.is_header_done() && HasUnsafeCoding(aParser.get())) {
-      aError = ReadError::kMalformed;
-      return ReadState::kFailed;
+      return fail(ReadError::kMalformed);
     }
     if (error) {
-      aError = ErrorOf(error);
-      return ReadState::kFailed;
+      return fail(ErrorOf(error));
     }
     if (used == 0 && !aParser.is_done()) {
       return ReadState::kNeedsMore;
@@ -98,13 +164,14 @@
 
 struct RequestReader::State
 {
-  using Parser = beast_http::request_parser<beast_http::string_body>;
+  using Parser = beast_http::request_parser<RequestBody>;
 
   void Reset()
   {
     parser_.emplace();
     parser_->header_limit(limits_.headerBytes_);
-    headerBytesLeft_ = limits_.headerBytes_;
+    progress_ = {};
+    progress_.headerBytesLeft_ = limits_.headerBytes_;
     parser_->body_limit(limits_.bodyBytes_);
     expectationTaken_ = false;
   }
@@ -112,7 +179,7 @@
   Limits limits_;
   std::optional<Parser> parser_;
   ReadError error_ = ReadError::kNone;
-  std::size_t headerBytesLeft_ = 0;
+  Progress progress_;
   bool expectationTaken_ = false;
 };
 
@@ -128,7 +195,7 @@
 ReadState
 RequestReader::Feed(QByteArray& aBytes)
 {
-  return Parse(*state_->parser_, aBytes, state_->error_, state_->headerBytesLeft_);
+  return Parse(*state_->parser_, aBytes, state_->error_, state_->progress_);
 }
 
 Request
@@ -162,6 +229,26 @@
   return boost::beast::iequals(parser.get()[beast_http::field::expect], "100-continue");
 }
 
+bool
+RequestReader::IsInBody() const
+{
+  return state_->parser_->is_header_done() && !state_->parser_->is_done();
+}
+
+std::size_t
+RequestReader::HeldBytes() const
+{
+  const Progress& progress = state_->progress_;
+  return state_->parser_->get().body().capacity() + progress.headerBytes_ +
+         progress.headerLines_ * kFieldBytes;
+}
+
+void
+RequestReader::Discard()
+{
+  state_->Reset();
+}
+
 struct ResponseReader::State
 {
   using Parser = beast_http::response_parser<beast_http::string_body>;
@@ -171,7 +258,8 @@
     parser_.emplace();
     parser_->skip(isHead_);
     parser_->header_limit(limits_.headerBytes_);
-    headerBytesLeft_ = limits_.headerBytes_;
+    progress_ = {};
+    progress_.headerBytesLeft_ = limits_.headerBytes_;
     parser_->body_limit(limits_.bodyBytes_);
   }
 
@@ -180,7 +268,7 @@
   bool started_ = false;
   std::optional<Parser> parser_;
   ReadError error_ = ReadError::kNone;
-  std::size_t headerBytesLeft_ = 0;
+  Progress progress_;
 };
 
 ResponseReader::ResponseReader(const Limits& aLimits, bool aIsHead)
@@ -198,8 +286,7 @@
 {
   state_->started_ = state_->started_ || !aBytes.isEmpty();
   for (;;) {
-    const ReadState result =
-      Parse(*state_->parser_, aBytes, state_->error_, state_->headerBytesLeft_);
+    const ReadState result = Parse(*state_->parser_, aBytes, state_->error_, state_->progress_);
     const bool unframed =
       state_->parser_->is_header_done() && state_->parser_->need_eof() && !state_->isHead_;
     if (result != ReadState::kFailed && unframed) {
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -65,7 +65,10 @@
 Server::Accept()
 {
   while (QTcpSocket* socket = listener_.nextPendingConnection()) {
-    Q_EMIT ConnectionArrived(new ServerConnection(socket, limits_, this));
+    Q_EMIT ConnectionArrived(new ServerConnection(socket, limits_, this, occupancy_));
+    if (occupancy_ != nullptr) {
+      occupancy_->EnforceConnections();
+    }
   }
 }
 
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -1,6 +1,9 @@
 #include "include/quetzal/http/ServerConnection.h"
 
+#include "include/quetzal/clock/Now.h"
+
 #include <QtNetwork/QTcpSocket>
+#include <algorithm>
 #include <sys/socket.h>
 
 namespace quetzal::http {
@@ -17,6 +20,20 @@
  * request. */
 constexpr std::chrono::milliseconds kFirstRequestTimeout{ 150 };
 
+/** Unused capacity that a read buffer may keep. */
+constexpr qsizetype kSpareBytes = 1024;
+
+/** Frees unused capacity, which a buffer keeps when bytes are removed from it. */
+void
+ShrinkBuffer(QByteArray& aBuffer)
+{
+  if (aBuffer.isEmpty()) {
+    aBuffer = QByteArray();
+  } else if (aBuffer.capacity() > 2 * aBuffer.size() + kSpareBytes) {
+    aBuffer.squeeze();
+  }
+}
+
 } // namespace
 
 ServerConnection::ServerConnection(QTcpSocket* aSocket,
@@ -36,9 +53,18 @@
   connect(socket_, &QTcpSocket::disconnected, this, &ServerConnection::OnDisconnected);
   connect(&deadline_, &clock::Deadline::Passed, this, &ServerConnection::OnTimeout);
   deadline_.Set(limits_.idleTimeout_);
+  phaseSince_ = clock::Now();
+  if (occupancy_ != nullptr) {
+    occupancy_->Add(*this);
+  }
 }
 
-ServerConnection::~ServerConnection() = default;
+ServerConnection::~ServerConnection()
+{
+  if (occupancy_ != nullptr) {
+    occupancy_->Remove(*this);
+  }
+}
 
 void
 ServerConnection::Read()
@@ -50,36 +76,106 @@
   if (phase_ == Phase::kBusy) {
     return;
   }
+  const qsizetype unread = readBuffer_.size();
   readBuffer_ += socket_->readAll();
+  bytesInWindow_ += static_cast<std::size_t>(readBuffer_.size() - unread);
   if (readBuffer_.isEmpty()) {
     return;
   }
   hasReceived_ = true;
   const bool isFirstPart = phase_ == Phase::kIdle;
-  phase_ = Phase::kReading;
+  if (isFirstPart) {
+    SetPhase(Phase::kReading);
+  }
   const ReadState state = reader_.Feed(readBuffer_);
+  ShrinkBuffer(readBuffer_);
   if (state == ReadState::kNeedsMore) {
-    if (isFirstPart) {
-      deadline_.Set(limits_.requestTimeout_);
-    }
-    if (reader_.TakeExpectation()) {
-      socket_->write("HTTP/1.1 100 Continue\r\n\r\n");
-    }
+    AwaitRest(isFirstPart);
     return;
   }
   deadline_.Clear();
-  phase_ = Phase::kBusy;
+  SetPhase(Phase::kBusy);
   if (state == ReadState::kFailed) {
-    keepAlive_ = false;
+    Discard();
     Q_EMIT RequestRefused(reader_.Error());
     return;
   }
   const Request request = reader_.Take();
+  ReportOccupancy();
   isHead_ = request.method_ == "HEAD";
   keepAlive_ = request.keepAlive_;
   Q_EMIT RequestArrived(request);
 }
 
+void
+ServerConnection::AwaitRest(bool aIsFirstPart)
+{
+  if (aIsFirstPart) {
+    SetRateDeadline();
+  }
+  if (reader_.TakeExpectation()) {
+    socket_->write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  ReportOccupancy();
+  if (occupancy_ != nullptr) {
+    occupancy_->EnforceHeldBytes();
+  }
+}
+
+void
+ServerConnection::SetRateDeadline()
+{
+  bytesInWindow_ = 0;
+  const auto elapsed = std::chrono::duration_cast<clock::Milliseconds>(clock::Now() - phaseSince_);
+  const clock::Milliseconds left = limits_.requestTimeout_ - elapsed;
+  deadline_.Set(std::clamp(left, clock::Milliseconds(1), limits_.bodyRate_.window_));
+}
+
+bool
+ServerConnection::IsTooSlow() const
+{
+  const bool isLate = clock::Now() - phaseSince_ >= limits_.requestTimeout_;
+  return isLate || (reader_.IsInBody() && IsBelowRate(limits_.bodyRate_, bytesInWindow_));
+}
+
+void
+ServerConnection::Discard()
+{
+  keepAlive_ = false;
+  reader_.Discard();
+  readBuffer_ = QByteArray();
+  ReportOccupancy();
+}
+
+void
+ServerConnection::SetPhase(Phase aPhase)
+{
+  phase_ = aPhase;
+  phaseSince_ = clock::Now();
+  ReportOccupancy();
+}
+
+std::size_t
+ServerConnection::HeldBytes() const
+{
+  return reader_.HeldBytes() + static_cast<std::size_t>(readBuffer_.capacity());
+}
+
+void
+ServerConnection::ReportOccupancy()
+{
+  if (occupancy_ == nullptr) {
+    return;
+  }
+  if (phase_ == Phase::kReading) {
+    occupancy_->Update(*this, { OccupantState::kUnfinished, HeldBytes(), phaseSince_ });
+    return;
+  }
+  const bool isBusy = phase_ == Phase::kBusy;
+  occupancy_->Update(*this,
+                     { isBusy ? OccupantState::kBusy : OccupantState::kIdle, 0, phaseSince_ });
+}
+
 void
 ServerConnection::Answer(const Response& aResponse)
 {
@@ -94,7 +190,7 @@
     Linger();
     return;
   }
-  phase_ = Phase::kIdle;
+  SetPhase(Phase::kIdle);
   deadline_.Set(limits_.idleTimeout_);
   // The next request may have arrived already. The call is queued so that other events are handled
   // in between.
@@ -125,7 +221,7 @@
 ServerConnection::Linger()
 {
   // Closing a socket with unread bytes resets the connection, and the response might get lost.
-  phase_ = Phase::kLingering;
+  SetPhase(Phase::kLingering);
   socket_->readAll();
   const auto finish = [this] {
     deadline_.Set(kLingerTimeout);
@@ -165,11 +261,24 @@
   }
 }
 
+void
+ServerConnection::EvictRequest()
+{
+  if (phase_ == Phase::kReading) {
+    deadline_.Clear();
+    SetPhase(Phase::kBusy);
+    Discard();
+    Q_EMIT RequestEvicted();
+  }
+}
+
 void
 ServerConnection::EndReading()
 {
   if (phase_ == Phase::kReading) {
-    OnTimeout();
+    SetPhase(Phase::kBusy);
+    Discard();
+    Q_EMIT RequestTooSlow();
   }
 }
 
@@ -188,10 +297,12 @@
 void
 ServerConnection::OnTimeout()
 {
+  if (phase_ == Phase::kReading && !IsTooSlow()) {
+    SetRateDeadline();
+    return;
+  }
   if (phase_ == Phase::kReading) {
-    phase_ = Phase::kBusy;
-    keepAlive_ = false;
-    Q_EMIT RequestTooSlow();
+    EndReading();
     return;
   }
   if (phase_ == Phase::kIdle && closeAfterAnswer_) {
@@ -207,6 +318,9 @@
   const bool wasBusy = phase_ == Phase::kBusy;
   phase_ = Phase::kLingering;
   deadline_.Clear();
+  if (occupancy_ != nullptr) {
+    occupancy_->Remove(*this);
+  }
   if (wasBusy) {
     Q_EMIT CallerLeft();
   }
--- a/tests/fuzz/Reader.cpp
+++ b/tests/fuzz/Reader.cpp
@@ -1,11 +1,12 @@
 /** fuzz-reader: feeds randomly changed messages to http::RequestReader and http::ResponseReader; a
  * seed repeats a run. Guards against readers whose result depends on how the bytes are split on
- * arrival, that exceed their limits, or that accept a request which a backend server reads
- * differently (request smuggling). */
+ * arrival, that exceed their limits or hold more bytes than these allow, or that accept a request
+ * which a backend server reads differently (request smuggling). */
 
 #include "include/quetzal/http/Reader.h"
 
 #include <QtCore/QByteArray>
+#include <algorithm>
 #include <array>
 #include <iostream>
 #include <random>
@@ -19,6 +20,10 @@
 constexpr Limits kLimits{ 512, 256 };
 /** Bytes after a complete request belong to the next one; at most this many requests are read. */
 constexpr int kMostMessages = 8;
+/** The shortest header line has 4 bytes, and each line takes up to 96 bytes beside them. */
+constexpr std::size_t kMaxHeaderHeld = kLimits.headerBytes_ * (1 + 96 / 4);
+/** A body's capacity is at most doubled when it grows. */
+constexpr std::size_t kMaxBodyHeld = 2 * kLimits.bodyBytes_ + 64;
 
 const std::array kRequests{
   "GET /a HTTP/1.1\r\nHost: a\r\n\r\n",
@@ -48,6 +53,8 @@
 struct End
 {
   std::vector<std::string> messages_; ///< Every complete message, serialized again.
+  std::size_t held_ = 0;              ///< The most that an unfinished message held.
+  std::size_t unread_ = 0;            ///< The most that the reader left in the buffer.
   ReadState state_ = ReadState::kNeedsMore;
 };
 
@@ -82,6 +89,12 @@
         return "a message is over the limits: " + Show(bytes);
       }
     }
+    const std::size_t held = std::max(whole.held_, pieces.held_);
+    const std::size_t unread = std::max(whole.unread_, pieces.unread_);
+    if (held > kMaxHeaderHeld + kMaxBodyHeld || unread > kLimits.headerBytes_) {
+      return "holds " + std::to_string(held) + " bytes and leaves " + std::to_string(unread) +
+             " unread: " + Show(bytes);
+    }
     return isRequest ? CheckAgain(whole) : std::string();
   }
 
@@ -142,6 +155,8 @@
       if (end.state_ != ReadState::kNeedsMore) {
         break;
       }
+      end.held_ = std::max(end.held_, reader.HeldBytes());
+      end.unread_ = std::max(end.unread_, static_cast<std::size_t>(pending.size()));
     }
     return end;
   }
@@ -155,6 +170,9 @@
          at += aPiece) {
       pending += aBytes.mid(at, aPiece);
       end.state_ = reader.Feed(pending);
+      if (end.state_ == ReadState::kNeedsMore) {
+        end.unread_ = std::max(end.unread_, static_cast<std::size_t>(pending.size()));
+      }
     }
     if (end.state_ == ReadState::kComplete) {
       const Response response = reader.Take();
