Tasks and gangs wait for their rack where the deployment has a far factor

Cause: see the decision, placement/Locality, which nothing called. Change: the cell asks it for a task or gang that could only be placed away from its rack, and keeps with the task when it first waited, so that no wait is begun anew; tasks that an earlier owner accepted do not wait. A timer starts a placement round at the end of a wait. Durations of far runs count divided by the factor in what the cell learns. New setting far_factor, from the platform's bounds; without it everything is placed as before. Metrics quetzal_near_waits_total and quetzal_far_starts_total, log event=near-wait.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -10,6 +10,7 @@
 #include "include/quetzal/node/PlatformState.h"
 #include "include/quetzal/organisations/Demand.h"
 #include "include/quetzal/placement/JobOrder.h"
+#include "include/quetzal/placement/Locality.h"
 #include "include/quetzal/placement/Placement.h"
 #include "include/quetzal/placement/UnfitNeeds.h"
 
@@ -67,6 +68,7 @@
   LeaseLapseClock sinceLeaseLapse_;
   clock::Milliseconds retention_{ 120'000 }; ///< Ended jobs remain visible at least this long.
   clock::Milliseconds moveTime_{ 1'500 };    ///< Time from allocating a host to its arrival.
+  double farFactor_ = 1; ///< Duration of a task away from its data, as a multiple of that near it.
 };
 
 /** The state that the previous owner stored, read after that owner could no longer write. */
@@ -215,7 +217,11 @@
   void OnStartFailed(const jobs::TaskId& aTask, std::int64_t aRun, workers::OrderStatus aReason);
   void OnUnknownRun(WorkerEntry& aEntry, const workers::RunningTask& aTask);
   void UpdateFailureScore(WorkerEntry& aEntry, jobs::EndKind aKind);
-  void RecordDuration(jobs::Job& aJob, const jobs::TaskId& aTask, clock::Moment aPlacedAt);
+  /** @param aLabels of the worker that ran the task. */
+  void RecordDuration(jobs::Job& aJob,
+                      const jobs::TaskId& aTask,
+                      clock::Moment aPlacedAt,
+                      const std::vector<std::string>& aLabels);
 
   /** A job with waiting tasks, and its place in the order of placement. */
   struct WaitingJob
@@ -244,6 +250,8 @@
     std::set<jobs::TaskId> orphaned_;
     int failedSearches_ = 0; ///< Searches of all candidates that found none for a task.
     int unplacedJobs_ = 0;   ///< In a row.
+    /** Expected capacity of the racks that tasks may wait for, by rack; made when first needed. */
+    std::map<std::string, placement::RackForecast> forecasts_;
   };
 
   /** What rounds have found since the last one that came to the end of the waiting jobs. */
@@ -265,6 +273,57 @@
                         const jobs::StepSpec& aStep,
                         bool aIsGeneral,
                         Round& aRound);
+  /** Returns a task's duration on a worker, as a multiple of that near its data. */
+  double FarFactorOn(const jobs::StepSpec& aStep, const std::vector<std::string>& aLabels) const;
+  bool MayWaitForRack(const jobs::Job& aJob, const jobs::StepSpec& aStep) const;
+  placement::RackForecast& ForecastOf(const std::string& aRack, Round& aRound);
+  clock::Milliseconds ExpectedTime(const jobs::StepSpec& aStep) const;
+  /** Returns when a run is expected to end; nothing if its end cannot be foreseen. */
+  std::optional<clock::Moment> ExpectedEnd(const jobs::TaskId& aTask,
+                                           const workers::Run& aRun,
+                                           const std::vector<std::string>& aLabels,
+                                           clock::Moment aNow);
+  /** Returns the demand for a rack, as a multiple of its capacity. */
+  double DemandOf(const std::string& aRack,
+                  const placement::RackForecast& aForecast,
+                  clock::Moment aNow) const;
+  placement::NearWait NearWaitOf(const jobs::Job& aJob,
+                                 const jobs::StepSpec& aStep,
+                                 const jobs::TaskState& aTask) const;
+  /** Decides whether a task that can only be placed away from its data waits for a slot near it,
+   * and reserves that slot in the forecast. */
+  bool WaitsForRack(jobs::Job& aJob,
+                    const jobs::StepSpec& aStep,
+                    jobs::TaskState& aTask,
+                    const placement::StepUse& aUse,
+                    Round& aRound);
+  /** Returns whether a task that has waited for its rack goes on waiting. */
+  bool StillWaitsForRack(jobs::Job& aJob,
+                         const jobs::StepSpec& aStep,
+                         jobs::TaskState& aTask,
+                         const placement::StepUse& aUse,
+                         Round& aRound);
+  /** Decides whether a gang that can only be placed away from its data, or on several racks, waits
+   * for room on one. @param aFirst the gang's first task, which keeps the time of the wait. */
+  bool GangWaitsForRack(jobs::Job& aJob,
+                        const jobs::StepSpec& aStep,
+                        jobs::TaskState& aFirst,
+                        const std::vector<std::size_t>& aChosen,
+                        const PlacementTickets::ByWorker* aTickets,
+                        Round& aRound);
+  std::optional<clock::Moment> GangSlot(const jobs::StepSpec& aStep,
+                                        const placement::StepUse& aUse,
+                                        Round& aRound);
+  void NoteNearWait(jobs::Job& aJob,
+                    const jobs::StepSpec& aStep,
+                    jobs::TaskState& aTask,
+                    clock::Moment aUntil,
+                    clock::Moment aNow);
+  /** Counts the start of a task or gang that prefers a rack. */
+  void CountNearStart(const jobs::StepSpec& aStep,
+                      const jobs::TaskState& aTask,
+                      bool aIsNear,
+                      clock::Moment aNow);
   void StartTask(jobs::Job& aJob,
                  const jobs::TaskId& aTask,
                  std::int64_t aRun,
@@ -326,12 +385,15 @@
   int unschedulableEvictions_ = 0;
   std::deque<fleet::Arrival> arrivals_;
   double estimateBias_ = 1; ///< Moving average of tasks' durations as multiples of their estimates.
-  double pathFactor_ = 1;   ///< See placement::RankOf.
+  /** By rack; of the racks that tasks prefer. */
+  std::map<std::string, placement::RackDemand> nearDemand_;
+  double pathFactor_ = 1; ///< See placement::RankOf.
   clock::Moment startedAt_;
   bool rosterIsComplete_ = true; ///< A roster with every worker has been given to the writer.
   bool handingOver_ = false;
   bool ownershipLost_ = false;
   QTimer placementTimer_;
+  QTimer nearWaitTimer_; ///< The next end of a wait for a slot near a task's data.
   QTimer progressTimer_;
   QTimer periodicTimer_;
 };
--- a/include/quetzal/jobs/JobTable.h
+++ b/include/quetzal/jobs/JobTable.h
@@ -33,6 +33,9 @@
   bool evicting_ = false; ///< The run is being stopped to restart the task elsewhere.
   clock::Moment placedAt_{};
   clock::Moment notBefore_{}; ///< Earliest time of the next placement.
+  /** When the task first waited for a slot near its data. It stays set when the task is placed
+   * again, so that the time limit of the wait holds for all placements together. */
+  std::optional<clock::Moment> nearWaitSince_;
 };
 
 struct StepState
@@ -61,7 +64,8 @@
   kNotDue,      ///< A repetition, another try, or the other tasks of a gang are not due.
   kNoTicket,    ///< Waits for the placement advice service.
   kNoRoom,
-  kQuota, ///< Its organisation may not use more in this cell now.
+  kQuota,    ///< Its organisation may not use more in this cell now.
+  kNearSlot, ///< Waits for a slot near its data.
 };
 
 /** Returns the reason's name in logs, such as "no-room". */
--- a/include/quetzal/node/NodeSettings.h
+++ b/include/quetzal/node/NodeSettings.h
@@ -34,6 +34,7 @@
     0
   }; ///< Time from an order to move a host until its worker has registered.
   double processorShare_ = 1; ///< Cores that this process may use.
+  double farFactor_ = 1; ///< Duration of a task away from its data, as a multiple of that near it.
   cells::LeaseTimes leaseTimes_;
 
   bool operator==(const NodeSettings&) const = default;
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -68,8 +68,11 @@
   , startedAt_(Now())
 {
   placementTimer_.setSingleShot(true);
+  nearWaitTimer_.setSingleShot(true);
+  nearWaitTimer_.setTimerType(Qt::PreciseTimer);
   progressTimer_.setSingleShot(true);
   connect(&placementTimer_, &QTimer::timeout, this, &Cell::PlaceTasks);
+  connect(&nearWaitTimer_, &QTimer::timeout, this, &Cell::SchedulePlacement);
   connect(&progressTimer_, &QTimer::timeout, this, &Cell::FlushProgress);
   connect(&periodicTimer_, &QTimer::timeout, this, &Cell::OnPeriodicTimer);
   connect(this, &Cell::OwnershipLost, this, [this] { ownershipLost_ = true; });
--- a/src/cells/CellEnds.cpp
+++ b/src/cells/CellEnds.cpp
@@ -46,7 +46,10 @@
 }
 
 void
-Cell::RecordDuration(jobs::Job& aJob, const jobs::TaskId& aTask, clock::Moment aPlacedAt)
+Cell::RecordDuration(jobs::Job& aJob,
+                     const jobs::TaskId& aTask,
+                     clock::Moment aPlacedAt,
+                     const std::vector<std::string>& aLabels)
 {
   const jobs::StepSpec& spec = aJob.spec_.steps_.at(static_cast<std::size_t>(aTask.step_));
   if (spec.longRunning_) {
@@ -60,7 +63,8 @@
   if (spec.estimateMs_ <= 0) {
     return;
   }
-  const double ratio = seconds * 1'000 / static_cast<double>(spec.estimateMs_);
+  const double estimateMs = static_cast<double>(spec.estimateMs_) * FarFactorOn(spec, aLabels);
+  const double ratio = seconds * 1'000 / estimateMs;
   estimateBias_ += (std::clamp(ratio, 0.0, kMaxBias) - estimateBias_) * kBiasWeight;
   estimateBias_ = std::clamp(estimateBias_, kMinBias, kMaxBias);
 }
@@ -112,7 +116,7 @@
   if (const jobs::TaskState* task = jobs::FindTask(job, aTask);
       task != nullptr && aKind == jobs::EndKind::kDone) {
     if (task->run_ == aRun) {
-      RecordDuration(job, aTask, task->placedAt_);
+      RecordDuration(job, aTask, task->placedAt_, aEntry.worker_->Registration().labels_);
     }
     StopOtherRuns(aTask, aRun, *task);
   }
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -319,6 +319,7 @@
   if (tickets != nullptr) {
     use.excluded_ = WithoutTicket(*tickets, aRound.candidates_);
   }
+  const bool mayWaitForRack = MayWaitForRack(aJob, spec);
   int placed = 0;
   std::optional<std::size_t> chosen;
   jobs::TaskId id{ aJob.id_, aOccurrence, aStep, 0 };
@@ -330,11 +331,22 @@
     if (startsLeft_ <= 0) {
       break;
     }
+    jobs::TaskState& task = tasks[static_cast<std::size_t>(i)];
+    if (mayWaitForRack && StillWaitsForRack(aJob, spec, task, use, aRound)) {
+      continue;
+    }
     chosen = placement::ChooseNextWorker(spec, aRound.candidates_, use, chosen);
     if (!chosen) {
       NoteFailedSearch(aJob, spec, !needsTicket && spec.maxPerWorker_ <= 0, aRound);
       break;
     }
+    if (mayWaitForRack) {
+      const bool isNear = placement::IsNearData(spec, *aRound.candidates_[*chosen].labels_);
+      if (!isNear && WaitsForRack(aJob, spec, task, use, aRound)) {
+        continue;
+      }
+      CountNearStart(spec, task, isNear, aRound.now_);
+    }
     placement::Reserve(aRound.candidates_[*chosen], spec);
     ++use.taskCounts_[*chosen];
     StartTask(aJob, id, nextRun_++, *aRound.entries_[*chosen]);
@@ -350,7 +362,7 @@
 Cell::PlaceGang(jobs::Job& aJob, int aOccurrence, int aStep, Round& aRound)
 {
   const jobs::StepSpec& spec = aJob.spec_.steps_.at(static_cast<std::size_t>(aStep));
-  const auto& tasks =
+  auto& tasks =
     aJob.liveOccurrences_.at(aOccurrence).steps_.at(static_cast<std::size_t>(aStep)).tasks_;
   jobs::TaskId member{ aJob.id_, aOccurrence, aStep, -1 };
   const bool ready =
@@ -371,6 +383,10 @@
     NoteFailedSearch(aJob, spec, false, aRound);
     return false;
   }
+  if (MayWaitForRack(aJob, spec) &&
+      GangWaitsForRack(aJob, spec, tasks.front(), chosen, tickets, aRound)) {
+    return false;
+  }
   const std::int64_t run = nextRun_++;
   for (int i = 0; i < spec.count_; ++i) {
     const std::size_t candidate = chosen[static_cast<std::size_t>(i)];
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -113,7 +113,7 @@
 ToString(WaitReason aReason)
 {
   static constexpr std::array kNames{ "none",      "not-tried", "predecessor", "not-due",
-                                      "no-ticket", "no-room",   "quota" };
+                                      "no-ticket", "no-room",   "quota",       "near-slot" };
   return kNames.at(static_cast<std::size_t>(aReason));
 }
 
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -217,6 +217,7 @@
   context.sinceLeaseLapse_ = [this] { return membership_.LeaseLapse(); };
   context.retention_ = settings_.retention_;
   context.moveTime_ = settings_.moveTime_;
+  context.farFactor_ = settings_.farFactor_;
   auto* cell = new cells::Cell(
     aCell, context, MakeOwnerRecord(), aClaimed.fence_, aClaimed.predecessorState_, this);
   cells_[aCell] = { cell, aClaimed.keyRevision_, Now(), false, std::nullopt };
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -13,6 +13,7 @@
 constexpr std::int64_t kMaxRetentionSeconds = 24 * 3'600;
 constexpr double kMaxRatePerSecond = 1e6;
 constexpr double kMaxProcessors = 1'024;
+constexpr double kMaxFarFactor = 100;
 constexpr double kMaxSeconds = 3'600;
 /** Lease time of tasks, unless the platform's limit is shorter. */
 constexpr clock::Milliseconds kWantedLease{ 5'000 };
@@ -58,7 +59,8 @@
                    "retention_s",
                    "move_s",
                    "maintenance_s",
-                   "processor_share" });
+                   "processor_share",
+                   "far_factor" });
   NodeSettings settings;
   settings.name_ = root.Name("name");
   settings.address_ = root.Name("address");
@@ -85,6 +87,9 @@
   const double retention = root.Required("retention_s").Number(0, kMaxRetentionSeconds);
   settings.retention_ = clock::Milliseconds(std::llround(retention * kRetentionFactor * 1'000));
   settings.processorShare_ = root.Required("processor_share").Number(0.01, kMaxProcessors);
+  if (const auto farFactor = root.Optional("far_factor")) {
+    settings.farFactor_ = farFactor->Number(1, kMaxFarFactor);
+  }
   settings.moveTime_ = Seconds(root, "move_s");
   settings.maintenanceTime_ = Seconds(root, "maintenance_s");
   const clock::Milliseconds longest = Milliseconds(root, "longest_lease_ms");
--- a/tests/unit/CellFixture.h
+++ b/tests/unit/CellFixture.h
@@ -61,6 +61,7 @@
     context.metrics_ = &metrics_;
     context.advice_ = advicePort_;
     context.times_ = times_;
+    context.farFactor_ = farFactor_;
     context.sinceLeaseLapse_ = [this] { return sinceLeaseLapse_; };
     return std::make_unique<Cell>(
       "svc", context, owner, claimed->fence_, claimed->predecessorState_, nullptr);
@@ -161,6 +162,7 @@
   FakeAdvice advice_;
   workers::PlacementAdvicePort* advicePort_ = &advice_; ///< Of the cells taken over from now on.
   metrics::Registry metrics_;
+  double farFactor_ = 1; ///< Of the cells taken over from now on.
   clock::Milliseconds sinceLeaseLapse_{ 0 };
   LeaseTimes times_{ std::chrono::milliseconds(400), std::chrono::milliseconds(200) };
   const jobs::TaskId first_{ "job1", 0, 0, 0 };
--- a/tests/unit/PlacementTest.cpp
+++ b/tests/unit/PlacementTest.cpp
@@ -144,6 +144,19 @@
   BOOST_TEST(candidates_[chosen[1]].rack_ == "r2");
 }
 
+// Guards against a gang that waits for ever because no single rack can hold it.
+BOOST_AUTO_TEST_CASE(Gang_PrefersOneRackAndNoneHoldsIt_IsSpreadOverRacks)
+{
+  Add(Worker("a", 2'000, "r1"));
+  Add(Worker("b", 2'000, "r2"));
+  step_.count_ = 2;
+  step_.gang_ = true;
+  step_.sameRack_ = true;
+  const auto chosen = ChooseGang(step_, candidates_);
+  BOOST_REQUIRE(chosen.size() == 2);
+  BOOST_TEST(candidates_[chosen[0]].rack_ != candidates_[chosen[1]].rack_);
+}
+
 /** Whatever the step, the candidates and the limits are, the tasks of a step must go where they
  * would go if each one were compared with all candidates. */
 BOOST_AUTO_TEST_CASE(NextTasks_OfRandomSteps_GoWhereEachAloneWouldGo)
