--- a/include/quetzal/jobs/JobRegistry.h
+++ b/include/quetzal/jobs/JobRegistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/quetzal/jobs/JobTable.h"
+#include "include/quetzal/jobs/OrganisationLoads.h"
 
 #include <map>
 #include <set>
@@ -62,8 +63,12 @@
   /** Returns the jobs with a step that allows speculative copies. */
   const std::map<std::string, Job*>& Speculative() const { return speculative_; }
 
+  /** Returns what organisations use and wait for, as of the last update of each job. */
+  const OrganisationLoads& Loads() const { return loads_; }
+
 private:
   ById live_;
+  OrganisationLoads loads_;
   std::map<std::string, Job*> waiting_;
   std::map<std::string, Job*> speculative_;
   std::map<std::string, EndedJob> ended_;
--- a/include/quetzal/jobs/JobTable.h
+++ b/include/quetzal/jobs/JobTable.h
@@ -74,6 +74,8 @@
   std::string id_;
   std::string queue_;
   std::string organisation_; ///< The organisation that submitted it; empty: none.
+  /** It arrived beyond its organisation's rate; unknown, and false, after a change of owner. */
+  bool overRate_ = false;
   JobSpec spec_;
   QueueTerms terms_; ///< Of the queue when the job was accepted.
   JobState state_ = JobState::kQueued;
--- a/include/quetzal/placement/JobOrder.h
+++ b/include/quetzal/placement/JobOrder.h
@@ -10,8 +10,10 @@
 struct JobRank
 {
   bool notLongRunning_ = true; ///< Tasks that run until cancelled come first.
+  bool overRate_ = false;      ///< It arrived beyond its organisation's rate.
   int priority_ = 0;           ///< Of the queue; 0 comes first.
   bool late_ = false;          ///< The job will miss its objective even if it is placed now.
+  int share_ = 0;              ///< Its organisation's use: organisations::StepsAboveShare.
   bool notStarted_ = true;     ///< Jobs that have tasks on workers are finished first.
   clock::Moment arrivedAt_{};
 
@@ -19,7 +21,8 @@
 };
 
 /** Returns a job's rank. This order answers a load of more jobs than workers have room for: work on
- * a job that will be late anyway would make others late too.
+ * a job that will be late anyway would make others late too. Its organisation's use of the pool is
+ * left 0.
  * @param aPathFactor time that a job takes from its first task to its end, as a multiple of its
  * critical path. */
 JobRank
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -63,11 +63,13 @@
   } else {
     waiting_.erase(aJob.id_);
   }
+  CountJob(loads_, aJob);
 }
 
 void
 JobRegistry::Remove(const std::string& aId)
 {
+  RemoveJob(loads_, aId);
   waiting_.erase(aId);
   speculative_.erase(aId);
   live_.erase(aId);
--- a/src/placement/JobOrder.cpp
+++ b/src/placement/JobOrder.cpp
@@ -22,6 +22,7 @@
     std::chrono::duration_cast<clock::Moment::duration>(aJob.remainingPath_ * aPathFactor);
   JobRank rank;
   rank.notLongRunning_ = !aJob.longRunning_;
+  rank.overRate_ = aJob.overRate_;
   rank.priority_ = aTerms.priority_;
   rank.late_ = aNow + remaining > jobs::ObjectiveOf(aJob, aTerms);
   rank.notStarted_ = !aJob.started_;
