Cells order and refuse by organisations' rates; 429 with Retry-After

The owner of a cell marks submissions beyond their organisation's rate, orders waiting jobs by rate and share, and refuses a job beyond the rate whose expected wait is over three times its objective. A new owner measures anew and refuses nobody meanwhile.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/cells/PlacementTickets.h"
 #include "include/quetzal/cells/StartWindow.h"
+#include "include/quetzal/cells/SubmissionControl.h"
 #include "include/quetzal/cells/Worker.h"
 #include "include/quetzal/cells/WriteChains.h"
 #include "include/quetzal/fleet/Forecast.h"
@@ -9,6 +10,7 @@
 #include "include/quetzal/metrics/Registry.h"
 #include "include/quetzal/node/PlatformState.h"
 #include "include/quetzal/organisations/Demand.h"
+#include "include/quetzal/organisations/FairShare.h"
 #include "include/quetzal/placement/JobOrder.h"
 #include "include/quetzal/placement/Placement.h"
 #include "include/quetzal/placement/UnfitNeeds.h"
@@ -242,8 +244,9 @@
     /** Tasks with a run that is being stopped as an orphan: they are not started anywhere until it
      * has ended. */
     std::set<jobs::TaskId> orphaned_;
-    int failedSearches_ = 0; ///< Searches of all candidates that found none for a task.
-    int unplacedJobs_ = 0;   ///< In a row.
+    organisations::FairShares shares_; ///< Empty without organisations.
+    int failedSearches_ = 0;           ///< Searches of all candidates that found none for a task.
+    int unplacedJobs_ = 0;             ///< In a row.
   };
 
   /** What rounds have found since the last one that came to the end of the waiting jobs. */
@@ -256,6 +259,9 @@
   static bool MayStart(const jobs::TaskState& aState,
                        const jobs::TaskId& aTask,
                        const Round& aRound);
+  organisations::FairShares FairShares(const Round& aRound) const;
+  /** Returns by how much a job's organisation uses more than its share; see placement::JobRank. */
+  int StepsAboveShare(const jobs::Job& aJob, const Round& aRound) const;
   bool PlaceJob(jobs::Job& aJob, Round& aRound);
   int PlaceStep(jobs::Job& aJob, int aOccurrence, int aStep, Round& aRound);
   bool PlaceGang(jobs::Job& aJob, int aOccurrence, int aStep, Round& aRound);
@@ -316,6 +322,7 @@
   std::map<std::string, std::vector<std::function<void()>>> endWaiters_;
   PlacementTickets tickets_;
   StartWindow startWindow_;
+  SubmissionControl submissions_;
   Pass pass_;
   clock::Moment waitingLoggedAt_{};
   int startsLeft_ = 0;           ///< Starts that the current placement round may still make.
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -399,6 +399,13 @@
   job.organisation_ = aSubmission.organisation_;
   job.arrivedAt_ = Now();
   job.acceptedMs_ = UnixMs();
+  const jobs::Configuration& configuration = context_.platformState_->Configuration();
+  CountSubmission(submissions_, configuration, job, job.arrivedAt_);
+  if (const auto refusal = DecideRefusal(submissions_, jobs_.Loads(), job)) {
+    LogRefusal(submissions_, service_, configuration, jobs_.Loads(), job, *refusal);
+    aDone({ AnswerStatus::kRefused, {}, 0, refusal->retryAfter_, RefusalReason::kOverRate });
+    return;
+  }
   jobs::Submission accepted = aSubmission;
   accepted.terms_ = job.terms_;
   const std::string record = jobs::Encode(jobs::MakeJobRecord(service_, accepted, job.acceptedMs_));
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -249,6 +249,7 @@
 {
   ExpireUnresponsiveWorkers();
   RemoveExpired();
+  admission::MeasureBacklog(submissions_.backlog_, jobs_.Loads().work_, Now());
   std::vector<std::string> removed;
   for (auto& [id, entry] : workers_) {
     entry.failureScore_ *= kFailureScoreDecay;
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -166,6 +166,30 @@
   return candidates;
 }
 
+organisations::FairShares
+Cell::FairShares(const Round& aRound) const
+{
+  const auto& organisations = context_.platformState_->Configuration().organisations_;
+  workers::Capacity pool;
+  for (const WorkerEntry* entry : aRound.entries_) {
+    const workers::Capacity& capacity = entry->worker_->Registration().capacity_;
+    pool.cpu_ += capacity.cpu_;
+    pool.memory_ += capacity.memory_;
+    pool.accelerators_ += capacity.accelerators_;
+  }
+  return organisations::MakeFairShares(organisations, pool);
+}
+
+int
+Cell::StepsAboveShare(const jobs::Job& aJob, const Round& aRound) const
+{
+  if (aJob.organisation_.empty() || aRound.shares_.fractions_.empty()) {
+    return 0;
+  }
+  return organisations::StepsAboveShare(
+    aRound.shares_, aJob.organisation_, jobs::UsedBy(jobs_.Loads(), aJob.organisation_));
+}
+
 std::set<jobs::TaskId>
 Cell::OrphanedTasks() const
 {
@@ -210,10 +234,20 @@
     return aLeft.rank_ > aRight.rank_;
   };
   std::vector<WaitingJob> waiting = WaitingJobs(now);
+  round.shares_ = FairShares(round);
+  for (WaitingJob& job : waiting) {
+    job.rank_.share_ = StepsAboveShare(*job.job_, round);
+  }
   std::make_heap(waiting.begin(), waiting.end(), comesLater);
   while (!waiting.empty()) {
     std::pop_heap(waiting.begin(), waiting.end(), comesLater);
     jobs::Job& job = *waiting.back().job_;
+    if (const int share = StepsAboveShare(job, round); share > waiting.back().rank_.share_) {
+      // Its organisation has started tasks in this round.
+      waiting.back().rank_.share_ = share;
+      std::push_heap(waiting.begin(), waiting.end(), comesLater);
+      continue;
+    }
     waiting.pop_back();
     if (PlaceJob(job, round)) {
       round.unplacedJobs_ = 0;
