--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -2,12 +2,14 @@
 
 #include "include/quetzal/cells/PlacementTickets.h"
 #include "include/quetzal/cells/StartWindow.h"
+#include "include/quetzal/cells/SubmissionControl.h"
 #include "include/quetzal/cells/Worker.h"
 #include "include/quetzal/cells/WriteChains.h"
 #include "include/quetzal/fleet/Forecast.h"
 #include "include/quetzal/jobs/JobRegistry.h"
 #include "include/quetzal/metrics/Registry.h"
 #include "include/quetzal/node/PlatformState.h"
+#include "include/quetzal/organisations/FairShare.h"
 #include "include/quetzal/organisations/QuotaUse.h"
 #include "include/quetzal/placement/JobOrder.h"
 #include "include/quetzal/placement/Locality.h"
@@ -259,8 +261,9 @@
      * has ended. */
     std::set<jobs::TaskId> orphaned_;
     Quotas quotas_;
-    int failedSearches_ = 0; ///< Searches of all candidates that found none for a task.
-    int unplacedJobs_ = 0;   ///< In a row.
+    organisations::FairShares shares_; ///< Empty without organisations.
+    int failedSearches_ = 0;           ///< Searches of all candidates that found none for a task.
+    int unplacedJobs_ = 0;             ///< In a row.
     /** Expected capacity of the racks that tasks may wait for, by rack; made when first needed. */
     std::map<std::string, placement::RackForecast> forecasts_;
   };
@@ -275,6 +278,9 @@
   static bool MayStart(const jobs::TaskState& aState,
                        const jobs::TaskId& aTask,
                        const Round& aRound);
+  organisations::FairShares FairShares(const Round& aRound) const;
+  /** Returns by how much a job's organisation uses more than its share; see placement::JobRank. */
+  int StepsAboveShare(const jobs::Job& aJob, const Round& aRound) const;
   bool PlaceJob(jobs::Job& aJob, Round& aRound);
   int PlaceStep(jobs::Job& aJob, int aOccurrence, int aStep, Round& aRound);
   bool PlaceGang(jobs::Job& aJob, int aOccurrence, int aStep, Round& aRound);
@@ -405,6 +411,7 @@
   bool knowsAllRuns_ = false;
   PlacementTickets tickets_;
   StartWindow startWindow_;
+  SubmissionControl submissions_;
   Pass pass_;
   clock::Moment waitingLoggedAt_{};
   int startsLeft_ = 0;           ///< Starts that the current placement round may still make.
