--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -181,8 +181,13 @@
 {
   aOrders.hasGrants_ = true;
   const jobs::Configuration& configuration = platformState_.Configuration();
-  const organisations::QuotaPlan plan{ organisations::QuotasOf(configuration.organisations_),
-                                       CellsOf(configuration) };
+  const std::vector<organisations::Quota> quotas =
+    organisations::QuotasOf(configuration.organisations_);
+  if (quotas.empty()) {
+    quotaTable_ = {}; // A later quota finds no use reported, so that its table begins frozen.
+    return;
+  }
+  const organisations::QuotaPlan plan{ quotas, CellsOf(configuration) };
   const organisations::CellDemand demand{ aReport.service_,
                                           aReport.fence_,
                                           aReport.sequence_,
@@ -190,7 +195,7 @@
                                           aReport.organisations_ };
   if (ownership_.isHeld_()) {
     leaseSeenAt_ = aNow;
-  } else if (!plan.quotas_.empty()) {
+  } else {
     // There may be another owner, which does not know what this one grants.
     if (aNow - leaseSeenAt_ < kUnleasedGrantTime) {
       aOrders.grants_ = organisations::ConfirmGrants(demand);
@@ -200,7 +205,7 @@
   const bool wasFrozen = quotaTable_.isFrozen_;
   const bool wasBegun = quotaTable_.begunAt_ != clock::Moment{};
   aOrders.grants_ = organisations::GrantQuotas(quotaTable_, plan, demand, aNow);
-  if (!wasBegun && quotaTable_.isFrozen_ && !plan.quotas_.empty()) {
+  if (!wasBegun && quotaTable_.isFrozen_) {
     log::Info("fleet", "event=quota-frozen quotas=", plan.quotas_.size());
   }
   if (wasFrozen && !quotaTable_.isFrozen_) {
