--- a/tests/unit/CellQuotasTest.cpp
+++ b/tests/unit/CellQuotasTest.cpp
@@ -5,7 +5,6 @@
 using namespace quetzal;
 using namespace quetzal::test;
 using namespace std::chrono_literals;
-using workers::Capacity;
 
 constexpr auto kSettleTime = 150ms; ///< Longer than some placement rounds.
 
--- a/tests/unit/QuotaGrantsTest.cpp
+++ b/tests/unit/QuotaGrantsTest.cpp
@@ -7,7 +7,6 @@
 
 using namespace quetzal;
 using namespace std::chrono_literals;
-using organisations::CellDemand;
 using organisations::Demand;
 using organisations::MayStart;
 using workers::Capacity;
