A submission beyond the rate is refused only if the store does not hold its job

Cause: a job that was accepted before its queue moved is not known to the new cell; its repeated submission beyond the rate got 429, which says that the job never runs. Change: the owner reads the job's record before it refuses. If it cannot, the outcome is unknown.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -191,6 +191,11 @@
 
   void RestoreState(const PredecessorState& aState);
   void RestoreJob(const store::KeyValue& aItem);
+  /** Refuses a submission beyond its organisation's rate, unless the store holds the job: it may
+   * have been accepted by another cell before its queue was moved, and runs there. */
+  void RefuseUnlessStored(const jobs::Submission& aSubmission,
+                          clock::Milliseconds aRetryAfter,
+                          AnswerCallback aDone);
   /** Returns whether a job is known and belongs to another organisation than the caller. */
   bool IsForbidden(const std::string& aId, const std::string& aOrganisation) const;
   jobs::QueueTerms TermsAtAcceptance(const std::string& aQueue,
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -3,6 +3,7 @@
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
 
+#include <QtCore/QPointer>
 #include <algorithm>
 #include <array>
 
@@ -407,7 +408,7 @@
   CountSubmission(submissions_, configuration, job, job.arrivedAt_);
   if (const auto refusal = DecideRefusal(submissions_, jobs_.Loads(), job)) {
     LogRefusal(submissions_, service_, configuration, jobs_.Loads(), job, *refusal);
-    aDone({ AnswerStatus::kRefused, {}, 0, refusal->retryAfter_, RefusalReason::kOverRate });
+    RefuseUnlessStored(aSubmission, refusal->retryAfter_, std::move(aDone));
     return;
   }
   jobs::Submission accepted = aSubmission;
@@ -472,6 +473,29 @@
   return job != nullptr && !organisations::MayAccess(aOrganisation, job->organisation_);
 }
 
+void
+Cell::RefuseUnlessStored(const jobs::Submission& aSubmission,
+                         clock::Milliseconds aRetryAfter,
+                         AnswerCallback aDone)
+{
+  const QPointer<Cell> self(this);
+  context_.store_->Get(
+    JobKey(aSubmission.id_),
+    [self, aSubmission, aRetryAfter, aDone = std::move(aDone)](const store::ReadResult& aResult) {
+      if (self && self->jobs_.Find(aSubmission.id_) != nullptr) {
+        self->Submit(aSubmission, aDone); // Another attempt has been admitted meanwhile.
+      } else if (aResult.status_ != store::Status::kSucceeded) {
+        aDone({ AnswerStatus::kUnknownOutcome });
+      } else if (aResult.items_.empty()) {
+        aDone({ AnswerStatus::kRefused, {}, 0, aRetryAfter, RefusalReason::kOverRate });
+      } else if (MayAccessRecord(aSubmission.organisation_, aResult.items_.front().value_)) {
+        aDone({ AnswerStatus::kAccepted });
+      } else {
+        aDone({ AnswerStatus::kForbidden });
+      }
+    });
+}
+
 void
 Cell::Show(const std::string& aId,
            const std::string& aOrganisation,
--- a/tests/unit/CellAdmissionTest.cpp
+++ b/tests/unit/CellAdmissionTest.cpp
@@ -61,6 +61,16 @@
   BOOST_TEST(IsAccepted("ada", "job2"));
 }
 
+// REFUSED: a job that another cell accepted before its queue was moved runs there, so that "not
+// accepted" would be false.
+BOOST_AUTO_TEST_CASE(Submission_IsStoredByAnotherCell_IsNotRefused)
+{
+  BuildBacklog();
+  store_.Put(cells::JobKey("job3"),
+             jobs::Encode(jobs::MakeJobRecord("other", { "q", "job3", Spec(1), {}, "ada" }, 7)));
+  BOOST_TEST(IsAccepted("ada", "job3"));
+}
+
 // One organisation's backlog must not refuse those within their rate, nor jobs without one.
 BOOST_AUTO_TEST_CASE(Submission_AnotherOrganisationIsBeyondItsRate_IsAccepted)
 {
