Logs tell each attempt of a request, its caller's leaving and who decided a cancel

Neither the attempts of the submission, nor the caller's leaving, nor what the 410 was decided on could be seen, so the hypotheses (an attempt that waits in its entry host, one on its way to the owner, a late write in the store) could not be told apart.

Change: event=request-repeated (attempt, owner), event=caller-left (stage), event=cancel-answered (verdict, decided_by, host), and from= and attempt= in event=job-accepted. Calls between entry hosts carry the last two in new fields at the end; earlier versions send and read them not. A submission that is accepted at the first attempt writes no line more.

--- a/include/quetzal/jobs/Job.h
+++ b/include/quetzal/jobs/Job.h
@@ -63,6 +63,8 @@
   JobSpec spec_;
   std::optional<QueueTerms> terms_; ///< Of the queue at acceptance; unset if not known.
   std::string organisation_{};      ///< Whose key it was submitted with; empty: none.
+  std::string entryHost_{};         ///< The host that its caller reached, for logs; empty: unknown.
+  int attempt_ = 1;                 ///< Counts the sendings of the same request, for logs.
 };
 
 enum class JobState : std::uint8_t
--- a/include/quetzal/node/JobRequestHandler.h
+++ b/include/quetzal/node/JobRequestHandler.h
@@ -32,6 +32,8 @@
   /** The incarnation of the last owner that may still carry out an earlier attempt; empty: none. */
   std::string doubtfulOwner_;
   std::uint64_t number_ = 0; ///< Set by OpenRequests; 0 for a request of another entry host.
+  std::string entryHost_;    ///< The host that the caller reached; empty: unknown.
+  int attempt_ = 1;          ///< Counts the times that the cell's owner has been looked up for it.
 };
 
 /** Answers callers' requests about jobs, whichever entry host owns the job's cell. */
@@ -40,8 +42,13 @@
 public:
   virtual ~JobRequestHandler() = default;
 
-  /** Calls @p aDone once, within the request's timeout. */
-  virtual void Handle(const JobRequest& aRequest, cells::AnswerCallback aDone) = 0;
+  /** Calls @p aDone once, within the request's timeout, unless OnCallerLeft() ends the request.
+   * @return the request's number; 0 if it has been answered. */
+  virtual std::uint64_t Handle(const JobRequest& aRequest, cells::AnswerCallback aDone) = 0;
+
+  /** Tells that the caller of an unanswered request has closed its connection. @param aNumber as
+   * returned by Handle(). */
+  virtual void OnCallerLeft(std::uint64_t aNumber) = 0;
 
   /** Returns the current configuration; null until one has been read. */
   virtual const jobs::Configuration* Configuration() const = 0;
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -42,7 +42,8 @@
    * the last answer comes are answered then. */
   void Stop();
 
-  void Handle(const JobRequest& aRequest, cells::AnswerCallback aDone) override;
+  std::uint64_t Handle(const JobRequest& aRequest, cells::AnswerCallback aDone) override;
+  void OnCallerLeft(std::uint64_t aNumber) override;
   const jobs::Configuration* Configuration() const override;
   bool IsReady() const override;
   bool IsStopping() const { return stopping_; }
--- a/include/quetzal/node/OpenRequests.h
+++ b/include/quetzal/node/OpenRequests.h
@@ -37,8 +37,12 @@
    * ignores any other. */
   cells::AnswerCallback Add(JobRequest& aRequest, cells::AnswerCallback aDone);
 
-  /** Records what a request waits for. @param aNumber as set by Add(). */
-  void SetStage(std::uint64_t aNumber, RequestStage aStage);
+  /** Records what a request waits for. @param aNumber as set by Add(); @param aHost the entry host
+   * that has it, if that is another one. */
+  void SetStage(std::uint64_t aNumber, RequestStage aStage, const std::string& aHost = {});
+
+  /** Logs that a request's caller has left. */
+  void OnCallerLeft(std::uint64_t aNumber);
 
   bool IsOpen(std::uint64_t aNumber) const { return open_.contains(aNumber); }
   std::size_t Count() const { return open_.size(); }
@@ -55,9 +59,12 @@
     RequestStage stage_ = RequestStage::kArrived;
     clock::Moment arrivedAt_{};
     clock::Milliseconds timeout_{ 0 };
+    std::string host_; ///< See SetStage().
   };
 
   static void LogOpen(const OpenRequest& aRequest);
+  /** Logs what became of a cancel, and who decided it. */
+  static void LogCancel(const OpenRequest& aRequest, const cells::Answer& aAnswer);
   void Answer(std::uint64_t aNumber, const cells::Answer& aAnswer);
 
   std::map<std::uint64_t, OpenRequest> open_;
--- a/include/quetzal/node/RequestRouter.h
+++ b/include/quetzal/node/RequestRouter.h
@@ -32,8 +32,8 @@
   /** @param aSelf the name of this entry host. */
   RequestRouter(std::string aSelf, RouterPorts aPorts, QObject* aParent);
 
-  /** Calls @p aDone once, within the request's timeout. */
-  void Handle(const JobRequest& aRequest, cells::AnswerCallback aDone);
+  /** See JobRequestHandler::Handle. */
+  std::uint64_t Handle(const JobRequest& aRequest, cells::AnswerCallback aDone);
 
   /** Answers a request that another entry host has received. @param aBody an encoded JobCall;
    * @param aReply takes an encoded JobReply. */
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -427,7 +427,11 @@
   write.mustBeAbsent_ = JobKey(id);
   write.mayBeRefused_ = true;
   write.puts_.push_back({ JobKey(id), record, 0 });
-  write.done_ = [this, id, caller = aSubmission.organisation_](const WriteResult& aResult) {
+  write.done_ = [this,
+                 id,
+                 caller = aSubmission.organisation_,
+                 entryHost = aSubmission.entryHost_,
+                 attempt = aSubmission.attempt_](const WriteResult& aResult) {
     const auto waiters = submitting_.extract(id);
     jobs::Job* submitted = jobs_.Find(id);
     Answer answer{ AnswerStatus::kUnknownOutcome };
@@ -447,7 +451,11 @@
                 " queue=",
                 stored.queue_,
                 " work=",
-                stored.estimatedCoreSeconds_);
+                stored.estimatedCoreSeconds_,
+                " from=",
+                entryHost,
+                " attempt=",
+                attempt);
       context_.metrics_->Add("quetzal_jobs_accepted_total", { { "service", service_ } });
       answer.status_ = AnswerStatus::kAccepted;
       SchedulePlacement();
--- a/src/node/Messages.cpp
+++ b/src/node/Messages.cpp
@@ -123,6 +123,8 @@
   call.id_ = aRequest.id_;
   call.timeoutMs_ = aRequest.timeout_.count();
   call.organisation_ = aRequest.organisation_;
+  call.entryHost_ = aRequest.entryHost_;
+  call.attempt_ = aRequest.attempt_;
   if (aRequest.kind_ == RequestKind::kSubmit) {
     call.job_ = jobs::Encode(jobs::MakeJobRecord(
       aRequest.cell_,
@@ -145,6 +147,8 @@
   request.id_ = aCall.id_;
   request.timeout_ = clock::Milliseconds(aCall.timeoutMs_);
   request.organisation_ = aCall.organisation_;
+  request.entryHost_ = aCall.entryHost_;
+  request.attempt_ = aCall.attempt_;
   if (request.kind_ == RequestKind::kSubmit && !ReadJob(aCall.job_, request)) {
     return std::nullopt;
   }
--- a/src/node/Messages.h
+++ b/src/node/Messages.h
@@ -18,9 +18,20 @@
   std::string id_;
   std::string job_; ///< An encoded JobRecord; empty except for kSubmit.
   std::int64_t timeoutMs_ = 0;
-  std::string organisation_; ///< Earlier versions send none.
-
-  MSGPACK_DEFINE_ARRAY(kind_, cell_, queue_, id_, job_, timeoutMs_, organisation_)
+  // Earlier versions send none of the following.
+  std::string organisation_;
+  std::string entryHost_;
+  int attempt_ = 1;
+
+  MSGPACK_DEFINE_ARRAY(kind_,
+                       cell_,
+                       queue_,
+                       id_,
+                       job_,
+                       timeoutMs_,
+                       organisation_,
+                       entryHost_,
+                       attempt_)
 };
 
 /** A cells::Answer, as sent between entry hosts. */
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -314,7 +314,7 @@
          membership_.IsStoreReachable();
 }
 
-void
+std::uint64_t
 NodeProcess::Handle(const JobRequest& aRequest, cells::AnswerCallback aDone)
 {
   JobRequest request = aRequest;
@@ -322,11 +322,17 @@
     const auto timeout = process::TimeoutDuringStop(stopSchedule_, SinceStop(), aRequest.timeout_);
     if (!timeout) {
       aDone(MakeRefusal());
-      return;
+      return 0;
     }
     request.timeout_ = *timeout;
   }
-  router_.Handle(request, std::move(aDone));
+  return router_.Handle(request, std::move(aDone));
+}
+
+void
+NodeProcess::OnCallerLeft(std::uint64_t aNumber)
+{
+  router_.Requests().OnCallerLeft(aNumber);
 }
 
 // --- Peers ---------------------------------------------------------------------------------------
--- a/src/node/OpenRequests.cpp
+++ b/src/node/OpenRequests.cpp
@@ -9,6 +9,15 @@
 #include <array>
 
 namespace quetzal::node {
+namespace {
+
+std::int64_t
+AgeMs(clock::Moment aSince)
+{
+  return std::chrono::duration_cast<clock::Milliseconds>(clock::Now() - aSince).count();
+}
+
+} // namespace
 
 const char*
 ToString(RequestStage aStage)
@@ -27,8 +36,13 @@
 {
   const std::uint64_t number = nextNumber_++;
   aRequest.number_ = number;
-  open_[number] = { std::move(aDone),       aRequest.id_, aRequest.kind_,
-                    RequestStage::kArrived, clock::Now(), aRequest.timeout_ };
+  open_[number] = { std::move(aDone),
+                    aRequest.id_,
+                    aRequest.kind_,
+                    RequestStage::kArrived,
+                    clock::Now(),
+                    aRequest.timeout_,
+                    {} };
   const auto time = std::max(aRequest.timeout_ - kAnswerMargin, clock::Milliseconds(1));
   QTimer::singleShot(
     time, this, [this, number] { Answer(number, { cells::AnswerStatus::kUnknownOutcome }); });
@@ -44,15 +58,19 @@
 OpenRequests::Answer(std::uint64_t aNumber, const cells::Answer& aAnswer)
 {
   if (const auto answered = open_.extract(aNumber); !answered.empty()) {
+    if (answered.mapped().kind_ == RequestKind::kCancel) {
+      LogCancel(answered.mapped(), aAnswer);
+    }
     answered.mapped().done_(aAnswer);
   }
 }
 
 void
-OpenRequests::SetStage(std::uint64_t aNumber, RequestStage aStage)
+OpenRequests::SetStage(std::uint64_t aNumber, RequestStage aStage, const std::string& aHost)
 {
   if (const auto request = open_.find(aNumber); request != open_.end()) {
     request->second.stage_ = aStage;
+    request->second.host_ = aHost;
   }
 }
 
@@ -65,11 +83,27 @@
   }
 }
 
+void
+OpenRequests::OnCallerLeft(std::uint64_t aNumber)
+{
+  const auto request = open_.find(aNumber);
+  if (request == open_.end()) {
+    return;
+  }
+  log::Info("node",
+            "event=caller-left job=",
+            request->second.job_,
+            " kind=",
+            static_cast<int>(request->second.kind_),
+            " stage=",
+            ToString(request->second.stage_),
+            " age_ms=",
+            AgeMs(request->second.arrivedAt_));
+}
+
 void
 OpenRequests::LogOpen(const OpenRequest& aRequest)
 {
-  const auto age =
-    std::chrono::duration_cast<clock::Milliseconds>(clock::Now() - aRequest.arrivedAt_);
   log::Warn("node",
             "event=request-open job=",
             aRequest.job_,
@@ -78,9 +112,25 @@
             " stage=",
             ToString(aRequest.stage_),
             " age_ms=",
-            age.count(),
+            AgeMs(aRequest.arrivedAt_),
             " timeout_ms=",
             aRequest.timeout_.count());
 }
 
+void
+OpenRequests::LogCancel(const OpenRequest& aRequest, const cells::Answer& aAnswer)
+{
+  log::Info("node",
+            "event=cancel-answered job=",
+            aRequest.job_,
+            " verdict=",
+            cells::ToString(aAnswer.status_),
+            " decided_by=",
+            ToString(aRequest.stage_),
+            aRequest.host_.empty() ? "" : " host=",
+            aRequest.host_,
+            " age_ms=",
+            AgeMs(aRequest.arrivedAt_));
+}
+
 } // namespace quetzal::node
--- a/src/node/RequestRouter.cpp
+++ b/src/node/RequestRouter.cpp
@@ -22,6 +22,23 @@
   return std::chrono::duration_cast<clock::Milliseconds>(Now() - aMoment);
 }
 
+/** Logs that a request is sent to an owner again. The first attempt needs no line of its own. */
+void
+LogRepetition(const JobRequest& aRequest, const std::string& aOwner)
+{
+  if (aRequest.attempt_ > 1) {
+    log::Info("node",
+              "event=request-repeated job=",
+              aRequest.id_,
+              " kind=",
+              static_cast<int>(aRequest.kind_),
+              " attempt=",
+              aRequest.attempt_,
+              " owner=",
+              aOwner);
+  }
+}
+
 /** Returns whether a refusal is not final, because the owner that refuses may still carry out an
  * earlier attempt of the same request. */
 bool
@@ -35,9 +52,14 @@
 {
   switch (aRequest.kind_) {
     case RequestKind::kSubmit:
-      aCell.Submit(
-        { aRequest.queue_, aRequest.id_, aRequest.spec_, aRequest.terms_, aRequest.organisation_ },
-        std::move(aDone));
+      aCell.Submit({ aRequest.queue_,
+                     aRequest.id_,
+                     aRequest.spec_,
+                     aRequest.terms_,
+                     aRequest.organisation_,
+                     aRequest.entryHost_,
+                     aRequest.attempt_ },
+                   std::move(aDone));
       return;
     case RequestKind::kGetState:
       aCell.Show(aRequest.id_, aRequest.organisation_, aDone);
@@ -73,12 +95,14 @@
 {
 }
 
-void
+std::uint64_t
 RequestRouter::Handle(const JobRequest& aRequest, cells::AnswerCallback aDone)
 {
   JobRequest request = aRequest;
+  request.entryHost_ = self_;
   const cells::AnswerCallback done = requests_.Add(request, std::move(aDone));
   Route(request, done);
+  return requests_.IsOpen(request.number_) ? request.number_ : 0;
 }
 
 void
@@ -111,6 +135,7 @@
       OnAnswer(aRequest, sentAt, aAnswer, aDone);
     };
   if (cells::Cell* cell = ports_.ownCell_(aRequest.cell_)) {
+    LogRepetition(aRequest, self_);
     requests_.SetStage(aRequest.number_, RequestStage::kOwnCell);
     HandleInCell(*cell, aRequest, onAnswer);
     return;
@@ -165,7 +190,8 @@
                            const cells::AnswerCallback& aDone)
 {
   const settings::Endpoint peer{ aOwner.address_, static_cast<std::uint16_t>(aOwner.port_) };
-  requests_.SetStage(aRequest.number_, RequestStage::kOwner);
+  LogRepetition(aRequest, aOwner.owner_);
+  requests_.SetStage(aRequest.number_, RequestStage::kOwner, aOwner.owner_);
   ports_.links_->Call(
     peer,
     PeerMethod::kJob,
@@ -231,7 +257,9 @@
   // The next attempt has the same job id, so whichever host then owns the cell knows whether the
   // job is stored.
   requests_.SetStage(aRequest.number_, RequestStage::kRetry);
-  QTimer::singleShot(kAttemptDelay, this, [this, aRequest, aDone] { Route(aRequest, aDone); });
+  JobRequest next = aRequest;
+  ++next.attempt_;
+  QTimer::singleShot(kAttemptDelay, this, [this, next, aDone] { Route(next, aDone); });
 }
 
 void
