A cancel of a job that nobody knows keeps its submission from being accepted later

Up to 45 starts later the job ran to its end. 410 is a promise about the future, but it was given on what the owner and one read of the store knew at that moment, while the submission was still on its way: in another entry host that repeated it (the case), on a connection to an owner, or in a write without an answer.

Cause: nothing that the cancel did could be met by the submission.

Change: a cancel that its cell does not know is decided by the store. It writes a tombstone to the job's key on the condition that the key is absent; a submission is a create under the same condition, so whichever comes first wins, whichever hosts and owners carry them. A submission that meets a tombstone gets 503, which is true: it is not accepted and never runs. A cancel that meets the job's record goes to the record's cell, as before; one that cannot be decided (store or budget refuse) gets 503 and Retry-After; one whose tombstone may have been written is repeated inside its time.

Beside it: the answer of a repeated request passed through one callback for each attempt, and each read the store again.

--- a/include/quetzal/jobs/Records.h
+++ b/include/quetzal/jobs/Records.h
@@ -103,6 +103,19 @@
                        organisation_)
 };
 
+/** A cancel of a job of which the store held no record. Stored under the job's id in place of a
+ * JobRecord, until its lease ends: a submission of the id is refused while it exists. Neither kind
+ * of record can be decoded as the other, so that earlier versions of this program, which know
+ * JobRecord only, answer that there is no such job. */
+struct TombstoneRecord
+{
+  std::string noCell_;           ///< Empty: the record belongs to no cell; see CellOf.
+  std::int64_t cancelledMs_ = 0; ///< Unix milliseconds.
+  std::string organisation_;     ///< Of the caller that cancelled; empty: none.
+
+  MSGPACK_DEFINE_ARRAY(noCell_, cancelledMs_, organisation_)
+};
+
 /** Failed runs or the checkpoint of one task. */
 struct TaskProgress
 {
@@ -235,6 +248,10 @@
 std::optional<QueueTerms>
 TermsOf(const JobRecord& aRecord);
 
+/** Returns the tombstone that a stored record is; std::nullopt if it is another record. */
+std::optional<TombstoneRecord>
+ReadTombstone(const std::string& aBytes);
+
 /** Returns the state of a stored or received record; std::nullopt if there is no such state. */
 std::optional<JobState>
 ReadJobState(int aState);
--- a/include/quetzal/node/OpenRequests.h
+++ b/include/quetzal/node/OpenRequests.h
@@ -19,6 +19,7 @@
   kOwner,   ///< Another entry host, which owns the cell.
   kRetry,   ///< The next attempt, since the last one left the outcome unknown.
   kStore,
+  kTombstone, ///< The store, which refuses later submissions of a job that does not exist.
 };
 
 const char*
--- a/include/quetzal/node/RequestRouter.h
+++ b/include/quetzal/node/RequestRouter.h
@@ -4,6 +4,7 @@
 #include "include/quetzal/node/Membership.h"
 #include "include/quetzal/node/OpenRequests.h"
 #include "include/quetzal/node/PeerLinks.h"
+#include "include/quetzal/node/Tombstones.h"
 #include "include/quetzal/store/SharedStore.h"
 
 #include <QtCore/QObject>
@@ -18,6 +19,7 @@
   const Membership* membership_ = nullptr;
   PeerLinks* links_ = nullptr;
   store::SharedStore* store_ = nullptr;
+  metrics::Registry* metrics_ = nullptr;
   /** Returns the cell of this name if this process owns it, else null. */
   std::function<cells::Cell*(const std::string&)> ownCell_;
 };
@@ -66,10 +68,22 @@
                     const store::ReadResult& aResult,
                     const cells::AnswerCallback& aDone,
                     bool aFinal);
+  void AnswerFromRecord(const JobRequest& aRequest,
+                        const std::string& aBytes,
+                        const cells::AnswerCallback& aDone,
+                        bool aFinal);
+  /** Decides a cancel of a job that its cell does not know: no submission that is on its way may be
+   * accepted once the caller was told that there is no such job. */
+  void StoreTombstone(const JobRequest& aRequest, const cells::AnswerCallback& aDone);
+  void OnTombstone(const JobRequest& aRequest,
+                   clock::Moment aSentAt,
+                   const TombstoneResult& aResult,
+                   const cells::AnswerCallback& aDone);
 
   std::string self_;
   RouterPorts ports_;
   OpenRequests requests_;
+  Tombstones tombstones_;
 };
 
 /** Returns the refusal of a request whose cell has no owner to accept it. */
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -18,23 +18,42 @@
 constexpr clock::Milliseconds kExpiryMargin{ 300 };
 /** Time after which a caller whose job cannot be stored now is asked to retry. */
 constexpr clock::Milliseconds kRetryAfter{ 1'000 };
+/** A cancelled job may be submitted anew only once its tombstone is gone, after some minutes. */
+constexpr clock::Milliseconds kCancelledRetryAfter{ 60'000 };
 /** An owner numbers its runs from fence * kRunsPerOwner + 1 upwards, so that run numbers never
  * repeat. */
 constexpr std::int64_t kRunsPerOwner = 10'000'000;
 
-/** Returns the answer to a submission whose job is stored already. */
-AnswerStatus
-StatusOfStored(const std::string& aCaller, const std::string& aBytes)
+/** Returns the answer to a submission whose job was cancelled before it was accepted. */
+Answer
+AnswerToCancelled(const std::string& aCaller,
+                  const std::string& aId,
+                  const jobs::TombstoneRecord& aTombstone)
 {
+  const bool isOwn = organisations::MayAccess(aCaller, aTombstone.organisation_);
+  log::Info("cell", "event=submission-of-cancelled job=", aId, " own=", isOwn);
+  if (!isOwn) {
+    return { AnswerStatus::kForbidden };
+  }
+  return { AnswerStatus::kRefused, {}, 0, kCancelledRetryAfter };
+}
+
+/** Returns the answer to a submission under whose id the store holds a record. */
+Answer
+AnswerToStored(const std::string& aCaller, const std::string& aId, const std::string& aBytes)
+{
+  if (const auto tombstone = jobs::ReadTombstone(aBytes)) {
+    return AnswerToCancelled(aCaller, aId, *tombstone);
+  }
   if (aCaller.empty()) {
-    return AnswerStatus::kAccepted;
+    return { AnswerStatus::kAccepted };
   }
   jobs::JobRecord record;
   if (!jobs::Decode(aBytes, record)) {
-    return AnswerStatus::kUnknownOutcome; // Another version may have written it, for anybody.
+    return { AnswerStatus::kUnknownOutcome }; // Another version may have written it, for anybody.
   }
-  return organisations::MayAccess(aCaller, record.organisation_) ? AnswerStatus::kAccepted
-                                                                 : AnswerStatus::kForbidden;
+  return { organisations::MayAccess(aCaller, record.organisation_) ? AnswerStatus::kAccepted
+                                                                   : AnswerStatus::kForbidden };
 }
 
 } // namespace
@@ -463,9 +482,10 @@
       jobs_.Remove(id);
       answer = { AnswerStatus::kRefused, {}, 0, kRetryAfter };
     } else if (aResult.outcome_ == WriteOutcome::kConflict) {
-      // The same job was submitted earlier, to the cell that its queue belonged to at that time.
+      // The job was cancelled first, or the same job was submitted earlier, to the cell that its
+      // queue belonged to at that time.
       jobs_.Remove(id);
-      answer.status_ = StatusOfStored(caller, aResult.existing_);
+      answer = AnswerToStored(caller, id, aResult.existing_);
     }
     if (!waiters.empty()) {
       for (const AnswerCallback& waiter : waiters.mapped()) {
@@ -508,7 +528,8 @@
       } else if (aResult.items_.empty()) {
         aDone({ AnswerStatus::kRefused, {}, 0, aRetryAfter, RefusalReason::kOverRate });
       } else {
-        aDone({ StatusOfStored(aSubmission.organisation_, aResult.items_.front().value_) });
+        aDone(AnswerToStored(
+          aSubmission.organisation_, aSubmission.id_, aResult.items_.front().value_));
       }
     });
 }
--- a/src/jobs/Records.cpp
+++ b/src/jobs/Records.cpp
@@ -94,6 +94,16 @@
   return terms;
 }
 
+std::optional<TombstoneRecord>
+ReadTombstone(const std::string& aBytes)
+{
+  TombstoneRecord record;
+  // Fields that a shorter record lacks are left as they are.
+  const bool isTombstone =
+    Decode(aBytes, record) && record.noCell_.empty() && record.cancelledMs_ > 0;
+  return isTombstone ? std::optional(record) : std::nullopt;
+}
+
 std::optional<JobState>
 ReadJobState(int aState)
 {
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -41,6 +41,7 @@
             { &membership_,
               &links_,
               ports_.store_,
+              &metrics_,
               [this](const std::string& aCell) {
                 const auto owned = cells_.find(aCell);
                 return owned == cells_.end() ? nullptr : owned->second.cell_;
--- a/src/node/OpenRequests.cpp
+++ b/src/node/OpenRequests.cpp
@@ -22,7 +22,9 @@
 const char*
 ToString(RequestStage aStage)
 {
-  static constexpr std::array kNames{ "arrived", "own-cell", "owner", "retry", "store" };
+  static constexpr std::array kNames{
+    "arrived", "own-cell", "owner", "retry", "store", "tombstone"
+  };
   return kNames.at(static_cast<std::size_t>(aStage));
 }
 
--- a/src/node/RequestRouter.cpp
+++ b/src/node/RequestRouter.cpp
@@ -92,6 +92,7 @@
   , self_(std::move(aSelf))
   , ports_(std::move(aPorts))
   , requests_(nullptr)
+  , tombstones_(*ports_.store_, *ports_.metrics_, nullptr)
 {
 }
 
@@ -130,19 +131,18 @@
   if (!requests_.IsOpen(aRequest.number_)) {
     return; // A submission must not run after its caller was answered, and may have cancelled it.
   }
-  const cells::AnswerCallback onAnswer =
-    [this, aRequest, aDone, sentAt = Now()](const cells::Answer& aAnswer) {
-      OnAnswer(aRequest, sentAt, aAnswer, aDone);
-    };
   if (cells::Cell* cell = ports_.ownCell_(aRequest.cell_)) {
     LogRepetition(aRequest, self_);
     requests_.SetStage(aRequest.number_, RequestStage::kOwnCell);
-    HandleInCell(*cell, aRequest, onAnswer);
+    HandleInCell(
+      *cell, aRequest, [this, aRequest, aDone, sentAt = Now()](const cells::Answer& aAnswer) {
+        OnAnswer(aRequest, sentAt, aAnswer, aDone);
+      });
     return;
   }
   const auto owner = ports_.membership_->OwnerOf(aRequest.cell_);
   if (owner && owner->owner_ != self_) {
-    SendToOwner(*owner, aRequest, onAnswer);
+    SendToOwner(*owner, aRequest, aDone);
     return;
   }
   if (aRequest.kind_ == RequestKind::kGetState) {
@@ -164,14 +164,17 @@
                         const cells::Answer& aAnswer,
                         const cells::AnswerCallback& aDone)
 {
-  const bool isAboutOneJob =
-    aRequest.kind_ == RequestKind::kGetState || aRequest.kind_ == RequestKind::kCancel;
-  if (isAboutOneJob && aAnswer.status_ == cells::AnswerStatus::kUnknownJob) {
-    // A job stays in the cell that accepted it even if its queue has moved; the job's record in the
-    // store names the cell.
+  // A job stays in the cell that accepted it even if its queue has moved; the job's record in the
+  // store names the cell.
+  const bool isUnknown = aAnswer.status_ == cells::AnswerStatus::kUnknownJob;
+  if (isUnknown && aRequest.kind_ == RequestKind::kGetState) {
     AnswerFromStore(aRequest, aDone, false);
     return;
   }
+  if (isUnknown && aRequest.kind_ == RequestKind::kCancel) {
+    StoreTombstone(aRequest, aDone);
+    return;
+  }
   if (aAnswer.status_ == cells::AnswerStatus::kUnknownOutcome &&
       aRequest.kind_ != RequestKind::kGetState) {
     // If an own cell is dropped, its next owner can determine the outcome of its requests.
@@ -220,7 +223,7 @@
   const cells::Answer answer = decoded.value_or(cells::Answer{});
   if (isAnswered && answer.status_ != cells::AnswerStatus::kUnknownOutcome &&
       !IsDoubtful(aRequest, answer, aIncarnation)) {
-    aDone(answer);
+    OnAnswer(aRequest, aSentAt, answer, aDone);
     return;
   }
   if (aRequest.kind_ == RequestKind::kGetState) {
@@ -283,13 +286,29 @@
                             const cells::AnswerCallback& aDone,
                             bool aFinal)
 {
+  const bool isCancel = aRequest.kind_ == RequestKind::kCancel;
   if (aResult.status_ != store::Status::kSucceeded) {
     aDone({ cells::AnswerStatus::kUnknownOutcome });
-    return;
+  } else if (!aResult.items_.empty()) {
+    AnswerFromRecord(aRequest, aResult.items_.front().value_, aDone, aFinal);
+  } else if (isCancel) {
+    aDone(MakeRefusal()); // Nothing keeps a submission from being accepted later.
+  } else {
+    aDone({ cells::AnswerStatus::kUnknownJob });
   }
+}
+
+void
+RequestRouter::AnswerFromRecord(const JobRequest& aRequest,
+                                const std::string& aBytes,
+                                const cells::AnswerCallback& aDone,
+                                bool aFinal)
+{
+  const bool isCancel = aRequest.kind_ == RequestKind::kCancel;
   jobs::JobRecord record;
-  if (aResult.items_.empty() || !jobs::Decode(aResult.items_.front().value_, record)) {
-    aDone({ cells::AnswerStatus::kUnknownJob });
+  if (!jobs::Decode(aBytes, record)) {
+    // A tombstone, which a cancel cannot renew now, or a record of a later version.
+    aDone(isCancel ? MakeRefusal() : cells::Answer{ cells::AnswerStatus::kUnknownJob });
     return;
   }
   if (!organisations::MayAccess(aRequest.organisation_, record.organisation_)) {
@@ -310,7 +329,7 @@
     Route(moved, aDone);
     return;
   }
-  if (aRequest.kind_ == RequestKind::kGetState) {
+  if (!isCancel) {
     aDone({ cells::AnswerStatus::kFound, state });
     return;
   }
@@ -318,4 +337,44 @@
                                : cells::AnswerStatus::kUnknownOutcome });
 }
 
+void
+RequestRouter::StoreTombstone(const JobRequest& aRequest, const cells::AnswerCallback& aDone)
+{
+  requests_.SetStage(aRequest.number_, RequestStage::kTombstone);
+  tombstones_.Store(aRequest.id_,
+                    aRequest.organisation_,
+                    [this, aRequest, aDone, sentAt = Now()](const TombstoneResult& aResult) {
+                      OnTombstone(aRequest, sentAt, aResult, aDone);
+                    });
+}
+
+void
+RequestRouter::OnTombstone(const JobRequest& aRequest,
+                           clock::Moment aSentAt,
+                           const TombstoneResult& aResult,
+                           const cells::AnswerCallback& aDone)
+{
+  switch (aResult.outcome_) {
+    case TombstoneOutcome::kStored:
+      aDone({ cells::AnswerStatus::kUnknownJob });
+      return;
+    case TombstoneOutcome::kJobExists:
+      AnswerFromRecord(aRequest, aResult.record_, aDone, false);
+      return;
+    case TombstoneOutcome::kForbidden:
+      aDone({ cells::AnswerStatus::kForbidden });
+      return;
+    case TombstoneOutcome::kRefused:
+      AnswerFromStore(aRequest, aDone, false); // The job may exist in another cell.
+      return;
+    case TombstoneOutcome::kUnknown: {
+      JobRequest retry = aRequest;
+      retry.outcomeUnknown_ = true;
+      retry.timeout_ -= TimeSince(aSentAt) + kAttemptDelay;
+      Retry(retry, aDone);
+      return;
+    }
+  }
+}
+
 } // namespace quetzal::node
--- a/tests/unit/MemoryStore.cpp
+++ b/tests/unit/MemoryStore.cpp
@@ -1,5 +1,7 @@
 #include "tests/unit/MemoryStore.h"
 
+#include <algorithm>
+
 namespace quetzal::test {
 
 void
@@ -91,10 +93,23 @@
                         std::function<void(const store::LeaseResult&)> aDone)
 {
   pendingCalls_.push_back([this, aTerm, aDone] {
-    aDone({ store::Status::kSucceeded, ++lastLease_, aTerm });
+    aDone({ store::Status::kSucceeded, ++lastLease_, std::min(aTerm, longestTerm_) });
   });
 }
 
+void
+MemoryStore::EndLease(std::int64_t aLease)
+{
+  endedLeases_.insert(aLease);
+  store::Transaction removal;
+  for (const auto& [key, lease] : leaseOfKey_) {
+    if (lease == aLease) {
+      removal.removes_.push_back(key);
+    }
+  }
+  Apply(removal);
+}
+
 void
 MemoryStore::RenewLease(std::int64_t aLease, std::function<void(const store::LeaseResult&)> aDone)
 {
@@ -168,16 +183,25 @@
     result.status_ = store::Status::kConflict;
     return result;
   }
+  const auto hasEnded = [this](const store::Write& aPut) {
+    return endedLeases_.contains(aPut.lease_);
+  };
+  if (std::any_of(aTransaction.puts_.begin(), aTransaction.puts_.end(), hasEnded)) {
+    result.status_ = store::Status::kLeaseEnded;
+    return result;
+  }
   ++revision_;
   for (const store::Write& put : aTransaction.puts_) {
     store::KeyValue& item = items_[put.key_];
     item.key_ = put.key_;
     item.value_ = put.value_;
     item.modRevision_ = revision_;
+    leaseOfKey_[put.key_] = put.lease_;
     history_.push_back({ item, false });
   }
   for (const std::string& key : aTransaction.removes_) {
     items_.erase(key);
+    leaseOfKey_.erase(key);
     store::KeyChange change;
     change.item_.key_ = key;
     change.item_.modRevision_ = revision_;
--- a/tests/unit/MemoryStore.h
+++ b/tests/unit/MemoryStore.h
@@ -53,6 +53,11 @@
   std::int64_t Put(const std::string& aKey, const std::string& aValue);
   std::int64_t RevisionOf(const std::string& aKey) const;
   const std::map<std::string, store::KeyValue>& Items() const { return items_; }
+  std::int64_t LastLease() const { return lastLease_; }
+  /** Ends a lease and removes the keys that were last written under it. */
+  void EndLease(std::int64_t aLease);
+  /** Grants leases of at most this term from now on. */
+  void LimitLeases(std::chrono::milliseconds aTerm) { longestTerm_ = aTerm; }
   void Compact() { compactedRevision_ = revision_; }
   std::size_t CommitCount() const { return commitCount_; }
 
@@ -68,6 +73,9 @@
   std::int64_t compactedRevision_ = 0;
   std::size_t commitCount_ = 0;
   std::int64_t lastLease_ = 0;
+  std::set<std::int64_t> endedLeases_;
+  std::map<std::string, std::int64_t> leaseOfKey_;
+  std::chrono::milliseconds longestTerm_ = std::chrono::milliseconds::max();
 };
 
 } // namespace quetzal::test
--- a/tests/unit/NodeProcessTest.cpp
+++ b/tests/unit/NodeProcessTest.cpp
@@ -383,6 +383,29 @@
     return call;
   }
 
+  /** Cancels a job at the process, as a caller does. */
+  cells::AnswerStatus Cancel(const std::string& aJob)
+  {
+    JobRequest request;
+    request.kind_ = RequestKind::kCancel;
+    request.cell_ = "svc";
+    request.queue_ = "q";
+    request.id_ = aJob;
+    std::optional<cells::AnswerStatus> status;
+    process_->Handle(request, [&status](const auto& aAnswer) { status = aAnswer.status_; });
+    BOOST_TEST(AnswerUntil([&status] { return status.has_value(); }));
+    return status.value_or(cells::AnswerStatus::kUnknownOutcome);
+  }
+
+  /** Returns the answer to a call of another entry host. */
+  cells::AnswerStatus StatusOf(const JobCall& aCall)
+  {
+    const auto reply = Call<JobReply>(PeerMethod::kJob, jobs::Encode(aCall));
+    const auto answer = reply ? FromReply(*reply) : std::nullopt;
+    BOOST_TEST(answer.has_value());
+    return answer ? answer->status_ : cells::AnswerStatus::kUnknownOutcome;
+  }
+
   bool IsServed(const JobCall& aCall)
   {
     const auto reply = Call<JobReply>(PeerMethod::kJob, jobs::Encode(aCall));
@@ -400,6 +423,15 @@
   BOOST_TEST(IsServed(MakeSubmission(1)));
 }
 
+// Guards against a job that runs after its caller was told that it does not exist: its submission
+// waited in another entry host while the cancel was answered.
+BOOST_AUTO_TEST_CASE(Cancel_SubmissionIsStillOnItsWay_SubmissionIsRefused)
+{
+  BOOST_TEST((Cancel("job1") == cells::AnswerStatus::kUnknownJob));
+  BOOST_TEST((StatusOf(MakeSubmission(1)) == cells::AnswerStatus::kRefused));
+  BOOST_TEST((Cancel("job1") == cells::AnswerStatus::kUnknownJob));
+}
+
 BOOST_AUTO_TEST_CASE(JobCall_KindDoesNotExist_IsAnsweredAsNotOwned)
 {
   for (const int kind : { -1, 0, 5, 99 }) {
