A cancel waits until its job's submission is stored

A DELETE that met its job's submission on its way to the store was answered 200 and put the job's end under the id without a condition. If the store refused the submission, a job that was never accepted was shown as cancelled. If the store held the job for another cell (its queue had moved, and the submission was a repeated one), that cell's record was overwritten: its owner ran the job on after the 200, and a later owner did not know it any more.

Cause: Cell::Cancel treats a job that is being stored like a stored one.

Change: such a cancel waits for the submission's outcome. Stored: the job is then cancelled. Refused or in conflict: the answer is "unknown job", which the entry host settles with the store (a tombstone, or the cell of the record). Cell lost: unknown.

Beside it: Submit's callback was longer than Submit; OnSubmissionWritten and OnJobStored are functions of their own.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -58,6 +58,14 @@
 
 using AnswerCallback = std::function<void(const Answer&)>;
 
+/** Where a submission that is being stored came from. */
+struct SubmissionOrigin
+{
+  std::string organisation_; ///< The caller's; see organisations::MayAccess.
+  std::string entryHost_;    ///< The host that the caller reached; empty: unknown.
+  int attempt_ = 1;          ///< See jobs::Submission.
+};
+
 /** Interfaces and settings that all cells of a process share. */
 struct CellContext
 {
@@ -196,6 +204,11 @@
   void RefuseUnlessStored(const jobs::Submission& aSubmission,
                           clock::Milliseconds aRetryAfter,
                           AnswerCallback aDone);
+  void OnSubmissionWritten(const std::string& aId,
+                           const SubmissionOrigin& aOrigin,
+                           const WriteResult& aResult);
+  void OnJobStored(jobs::Job& aJob, const SubmissionOrigin& aOrigin);
+  void EndCancelledJob(jobs::Job& aJob);
   bool IsKnown(const std::string& aId) const;
   /** Returns whether a job is known and belongs to another organisation than the caller. */
   bool IsForbidden(const std::string& aId, const std::string& aOrganisation) const;
@@ -407,6 +420,8 @@
   /** Waiting callers by job, until the job is stored. */
   std::map<std::string, std::vector<AnswerCallback>> submitting_;
   std::map<std::string, std::vector<AnswerCallback>> cancelling_;
+  /** Callers that cancel a job before it is stored, by job. */
+  std::map<std::string, std::vector<AnswerCallback>> cancellingUnstored_;
   std::map<std::string, std::vector<std::function<void()>>> progressWaiters_; ///< By job.
   /** Called once the end of a job is stored, by job. */
   std::map<std::string, std::vector<std::function<void()>>> endWaiters_;
--- a/src/cells/CellCallers.cpp
+++ b/src/cells/CellCallers.cpp
@@ -51,6 +51,20 @@
                                                                    : AnswerStatus::kForbidden };
 }
 
+SubmissionOrigin
+OriginOf(const jobs::Submission& aSubmission)
+{
+  return { aSubmission.organisation_, aSubmission.entryHost_, aSubmission.attempt_ };
+}
+
+void
+AnswerEach(const std::vector<AnswerCallback>& aCallbacks, const Answer& aAnswer)
+{
+  for (const AnswerCallback& callback : aCallbacks) {
+    callback(aAnswer);
+  }
+}
+
 } // namespace
 
 void
@@ -96,56 +110,77 @@
   write.mustBeAbsent_ = JobKey(id);
   write.mayBeRefused_ = true;
   write.puts_.push_back({ JobKey(id), record, 0 });
-  write.done_ = [this,
-                 id,
-                 caller = aSubmission.organisation_,
-                 entryHost = aSubmission.entryHost_,
-                 attempt = aSubmission.attempt_](const WriteResult& aResult) {
-    const auto waiters = submitting_.extract(id);
-    jobs::Job* submitted = jobs_.Find(id);
-    Answer answer{ AnswerStatus::kUnknownOutcome };
-    if (aResult.outcome_ == WriteOutcome::kStored && submitted != nullptr) {
-      jobs::Job& stored = *submitted;
-      stored.stored_ = true;
-      jobs::OpenDueOccurrences(stored, UnixMs());
-      jobs_.Update(stored);
-      if (!stored.longRunning_ && stored.spec_.repetitions_ == 0) {
-        arrivals_.push_back({ Now(), stored.estimatedCoreSeconds_ });
-      }
-      log::Info("cell",
-                "event=job-accepted cell=",
-                service_,
-                " job=",
-                id,
-                " queue=",
-                stored.queue_,
-                " work=",
-                stored.estimatedCoreSeconds_,
-                " from=",
-                entryHost,
-                " attempt=",
-                attempt);
-      context_.metrics_->Add("quetzal_jobs_accepted_total", { { "service", service_ } });
-      answer.status_ = AnswerStatus::kAccepted;
-      SchedulePlacement();
-    } else if (aResult.outcome_ == WriteOutcome::kRefused) {
-      jobs_.Remove(id);
-      answer = { AnswerStatus::kRefused, {}, 0, kRetryAfter };
-    } else if (aResult.outcome_ == WriteOutcome::kConflict) {
-      // The job was cancelled first, or the same job was submitted earlier, to the cell that its
-      // queue belonged to at that time.
-      jobs_.Remove(id);
-      answer = AnswerToStored(caller, id, aResult.existing_);
-    }
-    if (!waiters.empty()) {
-      for (const AnswerCallback& waiter : waiters.mapped()) {
-        waiter(answer);
-      }
-    }
+  write.done_ = [this, id, origin = OriginOf(aSubmission)](const WriteResult& aResult) {
+    OnSubmissionWritten(id, origin, aResult);
   };
   writer_.Add(id, std::move(write), kAcceptDelay);
 }
 
+void
+Cell::OnSubmissionWritten(const std::string& aId,
+                          const SubmissionOrigin& aOrigin,
+                          const WriteResult& aResult)
+{
+  const auto submissions = submitting_.extract(aId);
+  const auto cancels = cancellingUnstored_.extract(aId);
+  Answer answer{ AnswerStatus::kUnknownOutcome };
+  Answer cancelAnswer{ AnswerStatus::kUnknownOutcome };
+  jobs::Job* job = jobs_.Find(aId);
+  const bool isStored = aResult.outcome_ == WriteOutcome::kStored && job != nullptr;
+  if (isStored) {
+    OnJobStored(*job, aOrigin);
+    answer.status_ = AnswerStatus::kAccepted;
+  } else if (aResult.outcome_ == WriteOutcome::kRefused) {
+    jobs_.Remove(aId);
+    answer = { AnswerStatus::kRefused, {}, 0, kRetryAfter };
+    cancelAnswer.status_ = AnswerStatus::kUnknownJob;
+  } else if (aResult.outcome_ == WriteOutcome::kConflict) {
+    // The job was cancelled first, or the same job was submitted earlier, to the cell that its
+    // queue belonged to at that time.
+    jobs_.Remove(aId);
+    answer = AnswerToStored(aOrigin.organisation_, aId, aResult.existing_);
+    cancelAnswer.status_ = AnswerStatus::kUnknownJob;
+  }
+  if (!submissions.empty()) {
+    AnswerEach(submissions.mapped(), answer);
+  }
+  if (cancels.empty()) {
+    return;
+  }
+  if (isStored) {
+    cancelling_[aId] = cancels.mapped();
+    EndCancelledJob(*job);
+    return;
+  }
+  AnswerEach(cancels.mapped(), cancelAnswer);
+}
+
+void
+Cell::OnJobStored(jobs::Job& aJob, const SubmissionOrigin& aOrigin)
+{
+  aJob.stored_ = true;
+  jobs::OpenDueOccurrences(aJob, UnixMs());
+  jobs_.Update(aJob);
+  if (!aJob.longRunning_ && aJob.spec_.repetitions_ == 0) {
+    arrivals_.push_back({ Now(), aJob.estimatedCoreSeconds_ });
+  }
+  log::Info("cell",
+            "event=job-accepted cell=",
+            service_,
+            " job=",
+            aJob.id_,
+            " queue=",
+            aJob.queue_,
+            " work=",
+            aJob.estimatedCoreSeconds_,
+            " from=",
+            aOrigin.entryHost_,
+            " attempt=",
+            aOrigin.attempt_);
+  context_.metrics_->Add("quetzal_jobs_accepted_total", { { "service", service_ } });
+  SchedulePlacement();
+}
+
 bool
 Cell::IsKnown(const std::string& aId) const
 {
@@ -216,14 +251,24 @@
     aDone({ AnswerStatus::kUnknownJob });
     return;
   }
-  jobs::Job& job = *found;
-  cancelling_[aId].push_back(std::move(aDone));
-  if (job.ending_) {
+  if (!found->stored_) {
+    // The store may refuse the job, or hold one of the same id that runs in another cell.
+    cancellingUnstored_[aId].push_back(std::move(aDone));
     return;
   }
-  log::Info("cell", "event=job-cancel cell=", service_, " job=", aId, " placed=", job.placedTasks_);
-  StopTasks(job);
-  FinishJob(job, jobs::JobState::kCancelled, {});
+  cancelling_[aId].push_back(std::move(aDone));
+  if (!found->ending_) {
+    EndCancelledJob(*found);
+  }
+}
+
+void
+Cell::EndCancelledJob(jobs::Job& aJob)
+{
+  log::Info(
+    "cell", "event=job-cancel cell=", service_, " job=", aJob.id_, " placed=", aJob.placedTasks_);
+  StopTasks(aJob);
+  FinishJob(aJob, jobs::JobState::kCancelled, {});
 }
 
 std::int64_t
