A submission whose caller has left is not attempted again

A submission whose first attempt had no answer was repeated every 150 ms after its caller had left, at least until the caller's time was over, and was accepted by the next owner: a job for nobody.

Cause: the router asks OpenRequests before each attempt whether somebody waits, but nothing told it that the caller had closed its connection.

Change: OpenRequests forgets a submission whose caller has left. Cancels go on. It saves the work.

Test: Submit_CallerHasLeft_IsNotAttemptedAgain failed before (4 calls, not 1). Cancel_CallerHasLeft_IsAttemptedAgain holds before and after.

--- a/include/quetzal/node/OpenRequests.h
+++ b/include/quetzal/node/OpenRequests.h
@@ -42,7 +42,9 @@
    * that has it, if that is another one. */
   void SetStage(std::uint64_t aNumber, RequestStage aStage, const std::string& aHost = {});
 
-  /** Logs that a request's caller has left. */
+  /** Forgets a submission whose caller has left, so that it is not attempted again: nobody waits
+   * for the job, and the caller may cancel it. Cancels go on, as they may have to be carried out.
+   */
   void OnCallerLeft(std::uint64_t aNumber);
 
   bool IsOpen(std::uint64_t aNumber) const { return open_.contains(aNumber); }
--- a/src/node/OpenRequests.cpp
+++ b/src/node/OpenRequests.cpp
@@ -101,6 +101,9 @@
             ToString(request->second.stage_),
             " age_ms=",
             AgeMs(request->second.arrivedAt_));
+  if (request->second.kind_ == RequestKind::kSubmit) {
+    open_.erase(request);
+  }
 }
 
 void
--- a/tests/unit/NodeProcessTest.cpp
+++ b/tests/unit/NodeProcessTest.cpp
@@ -502,23 +502,39 @@
     });
   }
 
-  cells::AnswerStatus Submit()
+  static JobRequest MakeRequest(RequestKind aKind)
   {
     JobRequest request;
-    request.kind_ = RequestKind::kSubmit;
+    request.kind_ = aKind;
     request.cell_ = "svc";
     request.queue_ = "q";
     request.id_ = "job1";
     request.timeout_ = 1'500ms;
+    return request;
+  }
+
+  cells::AnswerStatus Submit()
+  {
     std::optional<cells::AnswerStatus> status;
-    process_->Handle(request, [&status](const auto& aAnswer) { status = aAnswer.status_; });
+    process_->Handle(MakeRequest(RequestKind::kSubmit),
+                     [&status](const auto& aAnswer) { status = aAnswer.status_; });
     BOOST_TEST(AnswerUntil([&status] { return status.has_value(); }));
     return status.value();
   }
 
+  /** Sends a request whose first attempt gets no answer. @return its number. */
+  std::uint64_t SendWithoutAnswer(RequestKind aKind)
+  {
+    const std::uint64_t number =
+      process_->Handle(MakeRequest(aKind), [this](const auto&) { ++answers_; });
+    BOOST_TEST_REQUIRE(AnswerUntil([this] { return calls_ == 1; }));
+    return number;
+  }
+
   QTcpServer server_;
   QByteArray bytes_;
   int calls_ = 0;
+  int answers_ = 0; ///< To SendWithoutAnswer().
   JobReply reply_ = ToReply({ cells::AnswerStatus::kRefused, {}, 0, 1'000ms });
 };
 
@@ -538,6 +554,23 @@
   BOOST_TEST(calls_ == callsBefore);
 }
 
+// Guards against jobs that nobody waits for, and that their callers have cancelled meanwhile.
+BOOST_AUTO_TEST_CASE(Submit_CallerHasLeft_IsNotAttemptedAgain)
+{
+  process_->OnCallerLeft(SendWithoutAnswer(RequestKind::kSubmit));
+  ProcessEventsFor(500ms);
+  BOOST_TEST(calls_ == 1);
+  ProcessEventsFor(1'200ms);
+  BOOST_TEST(answers_ == 0);
+}
+
+// A cancel without an answer may have to be carried out nevertheless.
+BOOST_AUTO_TEST_CASE(Cancel_CallerHasLeft_IsAttemptedAgain)
+{
+  process_->OnCallerLeft(SendWithoutAnswer(RequestKind::kCancel));
+  BOOST_TEST(AnswerUntil([this] { return calls_ > 1; }));
+}
+
 BOOST_AUTO_TEST_CASE(Submit_FirstAttemptIsRefused_IsRefusedAtOnce)
 {
   calls_ = 1;
