A host that was paused does not attempt a request whose time is over

A process that goes on after a pause runs the timer of the next attempt before the one that ends the request, so it sent one more attempt of a submission whose caller had given up, however long ago.

Change: OpenRequests::IsOpen looks at the clock, not only at the timers.

Test: Submit_ProcessIsPausedUntilTheRequestsTimeIsOver_IsNotAttemptedAgain failed before (2 calls, not 1).

--- a/include/quetzal/node/OpenRequests.h
+++ b/include/quetzal/node/OpenRequests.h
@@ -47,7 +47,8 @@
    */
   void OnCallerLeft(std::uint64_t aNumber);
 
-  bool IsOpen(std::uint64_t aNumber) const { return open_.contains(aNumber); }
+  /** Returns whether a request may be attempted again: it has no answer, and time is left. */
+  bool IsOpen(std::uint64_t aNumber) const;
   std::size_t Count() const { return open_.size(); }
 
   /** Answers each open request with kUnknownOutcome, and logs what it waited for. */
--- a/src/node/OpenRequests.cpp
+++ b/src/node/OpenRequests.cpp
@@ -106,6 +106,15 @@
   }
 }
 
+bool
+OpenRequests::IsOpen(std::uint64_t aNumber) const
+{
+  // A process that was paused runs the timer of the next attempt before that of the answer.
+  const auto request = open_.find(aNumber);
+  return request != open_.end() &&
+         clock::Now() - request->second.arrivedAt_ < request->second.timeout_;
+}
+
 void
 OpenRequests::LogOpen(const OpenRequest& aRequest)
 {
--- a/tests/unit/NodeProcessTest.cpp
+++ b/tests/unit/NodeProcessTest.cpp
@@ -13,6 +13,7 @@
 #include <QtNetwork/QTcpSocket>
 #include <boost/test/unit_test.hpp>
 #include <cmath>
+#include <thread>
 
 namespace {
 
@@ -571,6 +572,16 @@
   BOOST_TEST(AnswerUntil([this] { return calls_ > 1; }));
 }
 
+// Guards against attempts of a host that goes on after a pause: the caller has given up by then.
+BOOST_AUTO_TEST_CASE(Submit_ProcessIsPausedUntilTheRequestsTimeIsOver_IsNotAttemptedAgain)
+{
+  SendWithoutAnswer(RequestKind::kSubmit);
+  std::this_thread::sleep_for(1'600ms);
+  ProcessEventsFor(500ms);
+  BOOST_TEST(calls_ == 1);
+  BOOST_TEST(answers_ == 1);
+}
+
 BOOST_AUTO_TEST_CASE(Submit_FirstAttemptIsRefused_IsRefusedAtOnce)
 {
   calls_ = 1;
