Real processes: callers leave and cancel elsewhere while owners change

JobsCancelledWhileOwnersChange: the owner is killed, paused (beyond its lease and within it) or stopped while submissions are on their way; their callers leave and cancel at another entry host until they are told what became of the job. No job whose cancel got 410 may run or be shown.

The soak does the same at each kill and each pause.

--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -1,7 +1,8 @@
 /** quetzal-soak: runs real entry hosts on the stand-in platform under random faults. Checks that
  * every accepted job completes, that no task runs twice at once or again after its completion, that
- * no refused job runs, and that an entry host which is told to stop answers each request that was
- * sent on a connection to it. Exits with 1 if a check fails. */
+ * no refused job runs, that no job runs whose cancel was answered with "no such job", and that an
+ * entry host which is told to stop answers each request that was sent on a connection to it. Exits
+ * with 1 if a check fails. */
 
 #include "include/quetzal/process/Application.h"
 #include "tests/harness/JobsDeployment.h"
@@ -24,7 +25,11 @@
 constexpr int kTaskMs = 200;
 constexpr auto kLateCallInterval = 50ms;
 constexpr unsigned kOk = 200;
+constexpr unsigned kGone = 410;
 constexpr unsigned kUnavailable = 503;
+/** Jobs whose callers leave without an answer at a kill or a pause, and cancel them elsewhere. */
+constexpr int kCancelledJobs = 6;
+constexpr auto kCancelTimeout = 4'000ms;
 
 /** One soak run with its own seed and deployment. */
 class Soak
@@ -56,7 +61,7 @@
   std::size_t Accepted() const { return accepted_.size(); }
 
 private:
-  /** A submission to an entry host that has been told to stop. */
+  /** A submission that may be answered late, or never. */
   struct LateCall
   {
     std::string id_;
@@ -83,6 +88,31 @@
     }
   }
 
+  /** Submits jobs at the other entry hosts, whose callers leave and cancel once a fault has begun.
+   */
+  std::vector<LateCall> BeginCancelledJobs(int aEntry)
+  {
+    std::vector<LateCall> calls;
+    for (int i = 0; i < kCancelledJobs; ++i) {
+      calls.push_back(BeginLateCall((aEntry + 1 + i % 2) % kEntryHosts));
+    }
+    Pause(std::chrono::milliseconds(RandomBelow(15)));
+    return calls;
+  }
+
+  /** Leaves, and cancels at any entry host until the answers say what became of the jobs. */
+  void CancelElsewhere(std::vector<LateCall> aCalls)
+  {
+    std::vector<std::string> ids;
+    for (const LateCall& call : aCalls) {
+      ids.push_back(call.id_);
+    }
+    aCalls.clear();
+    const int entry = RandomBelow(kEntryHosts);
+    const auto cancelled = jobs_.CancelUntilDecided(entry, ids, kCancelTimeout);
+    gone_.insert(cancelled.gone_.begin(), cancelled.gone_.end());
+  }
+
   void NoteStatus(const std::string& aId, unsigned aStatus)
   {
     if (aStatus == kOk) {
@@ -106,9 +136,7 @@
         StopAndRestart(entry);
         break;
       case 2:
-        jobs_.Entry(entry).Signal(SIGSTOP);
-        Pause(std::chrono::milliseconds(500 + RandomBelow(4'000)));
-        jobs_.Entry(entry).Signal(SIGCONT);
+        PauseAndContinue(entry);
         break;
       case 3:
         jobs_.Control("/store?mood=refusing");
@@ -135,9 +163,20 @@
 
   void KillAndRestart(int aEntry)
   {
+    auto cancelled = BeginCancelledJobs(aEntry);
     jobs_.Entry(aEntry).Signal(SIGKILL);
     jobs_.Entry(aEntry).Wait();
     jobs_.StartEntry(aEntry);
+    CancelElsewhere(std::move(cancelled));
+  }
+
+  void PauseAndContinue(int aEntry)
+  {
+    auto cancelled = BeginCancelledJobs(aEntry);
+    jobs_.Entry(aEntry).Signal(SIGSTOP);
+    Pause(std::chrono::milliseconds(500 + RandomBelow(4'000)));
+    jobs_.Entry(aEntry).Signal(SIGCONT);
+    CancelElsewhere(std::move(cancelled));
   }
 
   /** Stops an entry host as planned while callers go on using it; for a part of the time, the other
@@ -217,6 +256,9 @@
     for (const std::string& id : refused_) {
       Require(jobs_.StartsOf(id) == 0, "job " + id + " was refused and does not run");
     }
+    for (const std::string& id : gone_) {
+      Require(jobs_.StartsOf(id) == 0, "job " + id + " did not exist and does not run");
+    }
     for (const std::string& violation : jobs_.Record("violation")) {
       violations_.push_back(violation);
     }
@@ -227,6 +269,7 @@
   int next_ = 1'000; ///< Lower ids serve as probes and must remain unknown.
   std::set<std::string> accepted_;
   std::set<std::string> refused_;
+  std::set<std::string> gone_; ///< Jobs whose cancel was answered with "no such job".
   std::set<std::string> silenced_;
   std::vector<std::string> violations_;
 };
--- a/tests/harness/JobsDeployment.cpp
+++ b/tests/harness/JobsDeployment.cpp
@@ -248,6 +248,29 @@
   return answer ? answer->status_ : 0;
 }
 
+JobsDeployment::Cancelled
+JobsDeployment::CancelUntilDecided(int aEntry,
+                                   std::vector<std::string> aIds,
+                                   std::chrono::milliseconds aTimeout)
+{
+  constexpr std::chrono::milliseconds kInterval(5);
+  Cancelled result;
+  const auto isDecided = [&](const std::string& aId) {
+    const unsigned status = Cancel(aEntry, aId);
+    if (status == quetzal::http::status::kGone) {
+      result.gone_.push_back(aId);
+    }
+    return status == quetzal::http::status::kOk || status == quetzal::http::status::kGone;
+  };
+  const auto end = std::chrono::steady_clock::now() + aTimeout;
+  while (!aIds.empty() && std::chrono::steady_clock::now() < end) {
+    std::erase_if(aIds, isDecided);
+    Pause(kInterval);
+  }
+  result.undecided_ = std::move(aIds);
+  return result;
+}
+
 bool
 JobsDeployment::WaitForState(int aEntry, const std::string& aId, const std::string& aState)
 {
--- a/tests/harness/JobsDeployment.h
+++ b/tests/harness/JobsDeployment.h
@@ -41,6 +41,17 @@
    * 200. */
   std::string StateOf(int aEntry, const std::string& aId);
   unsigned Cancel(int aEntry, const std::string& aId);
+  /** What became of jobs whose callers cancel them again until they get an answer. */
+  struct Cancelled
+  {
+    std::vector<std::string> gone_;      ///< Answered with "no such job".
+    std::vector<std::string> undecided_; ///< Without such an answer when the time was over.
+  };
+  /** Cancels jobs in turn, with short pauses, so that the first cancels which are decided come
+   * before the next attempts of the jobs' submissions. */
+  Cancelled CancelUntilDecided(int aEntry,
+                               std::vector<std::string> aIds,
+                               std::chrono::milliseconds aTimeout);
   /** Waits until an entry host shows a job in a state. */
   bool WaitForState(int aEntry, const std::string& aId, const std::string& aState);
 
--- /dev/null
+++ b/tests/integration/JobsCancelTest.cpp
@@ -0,0 +1,127 @@
+#include "include/quetzal/http/Status.h"
+#include "tests/harness/JobsDeployment.h"
+#include "tests/harness/RawCaller.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+namespace {
+
+using namespace harness;
+using namespace std::chrono_literals;
+
+constexpr int kEntryHosts = 3;
+constexpr int kJobsOfARound = 8;
+/** Longer than any submission is attempted. */
+constexpr auto kLastAttempt = 5s;
+constexpr auto kCancelTimeout = 20s;
+
+/** Three entry hosts. Callers hand jobs in, leave without an answer and cancel the jobs at another
+ * entry host. Whatever happens to the owner, a job whose cancel was answered with "no such job" may
+ * not run after that. */
+struct JobsCancelFixture
+{
+  struct Submission
+  {
+    std::string id_;
+    std::unique_ptr<RawCaller> caller_;
+  };
+
+  JobsCancelFixture()
+    : jobs_(kEntryHosts, 6, 150)
+  {
+    for (int entry = 0; entry < kEntryHosts; ++entry) {
+      BOOST_REQUIRE(jobs_.WaitUntilServing(entry));
+    }
+  }
+
+  static int After(int aEntry, int aSteps) { return (aEntry + aSteps) % kEntryHosts; }
+
+  /** Submits jobs at the two entry hosts other than the given one, and leaves once that host has
+   * had a signal. @return the jobs' ids. */
+  std::vector<std::string> SubmitAndLeave(int aEntry, int aSignal)
+  {
+    std::vector<Submission> submissions;
+    for (int i = 0; i < kJobsOfARound; ++i) {
+      const std::string id = JobsDeployment::IdOf(next_++);
+      submissions.push_back(
+        { id, std::make_unique<RawCaller>(jobs_.Callers(After(aEntry, 1 + i % 2))) });
+      submissions.back().caller_->Send(JobsDeployment::SubmitBytes(id));
+    }
+    Pause(4ms);
+    jobs_.Entry(aEntry).Signal(aSignal);
+    Pause(60ms);
+    std::vector<std::string> left;
+    for (const Submission& submission : submissions) {
+      if (!submission.caller_->IsAnswered()) {
+        left.push_back(submission.id_);
+      }
+    }
+    return left;
+  }
+
+  void Cancel(int aEntry, const std::vector<std::string>& aIds)
+  {
+    const auto cancelled = jobs_.CancelUntilDecided(aEntry, aIds, kCancelTimeout);
+    BOOST_TEST(cancelled.undecided_.empty());
+    gone_.insert(gone_.end(), cancelled.gone_.begin(), cancelled.gone_.end());
+  }
+
+  void CheckNoneOfTheGoneRuns()
+  {
+    Pause(kLastAttempt);
+    for (const std::string& id : gone_) {
+      BOOST_TEST(jobs_.StartsOf(id) == 0, "job " << id << " runs after its cancel got 410");
+      BOOST_TEST(jobs_.StateOf(0, id) == "status " + std::to_string(quetzal::http::status::kGone));
+    }
+  }
+
+  JobsDeployment jobs_;
+  int next_ = 1'000;
+  std::vector<std::string> gone_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(JobsCancelledWhileOwnersChange, JobsCancelFixture)
+
+/** Guards against the submission that waits in its entry host for the next owner. */
+BOOST_AUTO_TEST_CASE(Owner_IsKilled_NoJobRunsThatItsCallerWasToldNotToExist)
+{
+  for (int entry = 0; entry < kEntryHosts; ++entry) {
+    const auto left = SubmitAndLeave(entry, SIGKILL);
+    jobs_.Entry(entry).Wait();
+    jobs_.StartEntry(entry);
+    Cancel(After(entry, 2), left);
+  }
+  CheckNoneOfTheGoneRuns();
+}
+
+/** Guards against the submission that lies unread at an owner that is paused. */
+BOOST_AUTO_TEST_CASE(Owner_IsPausedAndGoesOn_NoJobRunsThatItsCallerWasToldNotToExist)
+{
+  for (int entry = 0; entry < kEntryHosts; ++entry) {
+    const auto left = SubmitAndLeave(entry, SIGSTOP);
+    // The pause outlasts the owner's lease in one round of two.
+    const bool isLong = entry % 2 == 0;
+    Pause(isLong ? 4'500ms : 1'000ms);
+    jobs_.Entry(entry).Signal(SIGCONT);
+    Cancel(After(entry, 2), left);
+  }
+  CheckNoneOfTheGoneRuns();
+}
+
+/** Guards against the submission that meets an owner which hands its cells over. */
+BOOST_AUTO_TEST_CASE(Owner_IsStopped_NoJobRunsThatItsCallerWasToldNotToExist)
+{
+  for (int entry = 0; entry < kEntryHosts; ++entry) {
+    const auto left = SubmitAndLeave(entry, SIGTERM);
+    Cancel(After(entry, 2), left);
+    BOOST_TEST(jobs_.Entry(entry).Wait() == 0);
+    jobs_.StartEntry(entry);
+    BOOST_REQUIRE(jobs_.WaitUntilServing(entry));
+  }
+  CheckNoneOfTheGoneRuns();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
