A tombstone whose commit had no answer is committed again, not left to the router

Cause: found while reading the change. The router repeated a cancel whose tombstone had an unknown outcome every 150 ms, and each repetition took from the budget: while answers of the store are lost, some 25 cancels would have used up a host's 500.

Change: Tombstones repeats the commit itself, four at most, out of one unit of the budget; a conflict with the own record renews it. A refusal after a commit without an answer is "unknown", not "refused". The record names the organisation as job records do (OwnerFor).

Tests: Store_AnswerIsLost_IsStoredAgain, Store_AllAnswersAreLost_OutcomeIsUnknown, Store_RefusedAfterALostAnswer_OutcomeIsUnknown.

--- a/include/quetzal/node/RequestRouter.h
+++ b/include/quetzal/node/RequestRouter.h
@@ -76,7 +76,6 @@
    * accepted once the caller was told that there is no such job. */
   void StoreTombstone(const JobRequest& aRequest, const cells::AnswerCallback& aDone);
   void OnTombstone(const JobRequest& aRequest,
-                   clock::Moment aSentAt,
                    const TombstoneResult& aResult,
                    const cells::AnswerCallback& aDone);
 
--- a/include/quetzal/node/Tombstones.h
+++ b/include/quetzal/node/Tombstones.h
@@ -61,6 +61,7 @@
     TombstoneCallback done_;
     std::int64_t expectedRevision_ = 0; ///< Of an existing tombstone; 0: the key must be absent.
     int commits_ = 0;
+    bool isDoubtful_ = false; ///< A commit had no answer.
   };
 
   struct Lease
--- a/src/node/RequestRouter.cpp
+++ b/src/node/RequestRouter.cpp
@@ -341,16 +341,14 @@
 RequestRouter::StoreTombstone(const JobRequest& aRequest, const cells::AnswerCallback& aDone)
 {
   requests_.SetStage(aRequest.number_, RequestStage::kTombstone);
-  tombstones_.Store(aRequest.id_,
-                    aRequest.organisation_,
-                    [this, aRequest, aDone, sentAt = Now()](const TombstoneResult& aResult) {
-                      OnTombstone(aRequest, sentAt, aResult, aDone);
-                    });
+  tombstones_.Store(
+    aRequest.id_, aRequest.organisation_, [this, aRequest, aDone](const TombstoneResult& aResult) {
+      OnTombstone(aRequest, aResult, aDone);
+    });
 }
 
 void
 RequestRouter::OnTombstone(const JobRequest& aRequest,
-                           clock::Moment aSentAt,
                            const TombstoneResult& aResult,
                            const cells::AnswerCallback& aDone)
 {
@@ -367,13 +365,9 @@
     case TombstoneOutcome::kRefused:
       AnswerFromStore(aRequest, aDone, false); // The job may exist in another cell.
       return;
-    case TombstoneOutcome::kUnknown: {
-      JobRequest retry = aRequest;
-      retry.outcomeUnknown_ = true;
-      retry.timeout_ -= TimeSince(aSentAt) + kAttemptDelay;
-      Retry(retry, aDone);
+    case TombstoneOutcome::kUnknown:
+      aDone({ cells::AnswerStatus::kUnknownOutcome });
       return;
-    }
   }
 }
 
--- a/src/node/Tombstones.cpp
+++ b/src/node/Tombstones.cpp
@@ -79,7 +79,9 @@
     return;
   }
   const std::string key = cells::JobKey(aRequest.job_);
-  const jobs::TombstoneRecord record{ {}, clock::UnixMs(), aRequest.organisation_ };
+  const jobs::TombstoneRecord record{ {},
+                                      clock::UnixMs(),
+                                      organisations::OwnerFor(aRequest.organisation_) };
   store::Transaction change;
   change.expected_.push_back({ key, aRequest.expectedRevision_ });
   change.puts_.push_back({ key, jobs::Encode(record), lease_->id_ });
@@ -112,10 +114,14 @@
       CommitOrWait(std::move(aRequest));
       return;
     case store::Status::kRefused:
-      Finish(aRequest, { TombstoneOutcome::kRefused, {} });
+      // An earlier commit of the request may have been carried out, or may still be.
+      Finish(
+        aRequest,
+        { aRequest.isDoubtful_ ? TombstoneOutcome::kUnknown : TombstoneOutcome::kRefused, {} });
       return;
     default:
-      Finish(aRequest, { TombstoneOutcome::kUnknown, {} });
+      aRequest.isDoubtful_ = true;
+      CommitOrWait(std::move(aRequest));
       return;
   }
 }
