The owner stores the tombstone of a cancel that a host of an earlier release passes on

Change: an owner whose cell does not know the job of a cancel stores the tombstone itself if the call names no entry host, which only earlier releases do. The old host cannot decode the record and answers 410 as before.

Tests: CancelCall_OfAnEarlierRelease_SubmissionThatFollowsIsRefused failed before; CancelCall_OfThisRelease_NothingIsStored holds before and after.

--- a/src/node/RequestRouter.cpp
+++ b/src/node/RequestRouter.cpp
@@ -76,6 +76,33 @@
   }
 }
 
+/** Returns whether a request is a cancel from a host of an earlier release. Such a host names no
+ * entry host, and stores no tombstone itself if the owner does not know the job. */
+bool
+LeavesTombstoneToOwner(const JobRequest& aRequest)
+{
+  return aRequest.kind_ == RequestKind::kCancel && aRequest.entryHost_.empty();
+}
+
+/** Returns the answer to a cancel whose job the cell's owner does not know. With kUnknownJob, the
+ * job may still exist in another cell. */
+cells::Answer
+AnswerTo(TombstoneOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case TombstoneOutcome::kStored:
+    case TombstoneOutcome::kJobExists:
+      return { cells::AnswerStatus::kUnknownJob };
+    case TombstoneOutcome::kForbidden:
+      return { cells::AnswerStatus::kForbidden };
+    case TombstoneOutcome::kRefused:
+      return MakeRefusal();
+    case TombstoneOutcome::kUnknown:
+      break;
+  }
+  return { cells::AnswerStatus::kUnknownOutcome };
+}
+
 } // namespace
 
 cells::Answer
@@ -120,8 +147,23 @@
     aReply(jobs::Encode(JobReply{}));
     return;
   }
-  HandleInCell(*cell, *request, [aReply](const cells::Answer& aAnswer) {
+  const cells::AnswerCallback reply = [aReply](const cells::Answer& aAnswer) {
     aReply(jobs::Encode(ToReply(aAnswer)));
+  };
+  if (!LeavesTombstoneToOwner(*request)) {
+    HandleInCell(*cell, *request, reply);
+    return;
+  }
+  const QPointer<RequestRouter> self(this);
+  HandleInCell(*cell, *request, [self, request = *request, reply](const cells::Answer& aAnswer) {
+    if (!self || aAnswer.status_ != cells::AnswerStatus::kUnknownJob) {
+      reply(aAnswer);
+      return;
+    }
+    self->tombstones_.Store(
+      request.id_, request.organisation_, [reply](const TombstoneResult& aResult) {
+        reply(AnswerTo(aResult.outcome_));
+      });
   });
 }
 
@@ -353,20 +395,14 @@
                            const cells::AnswerCallback& aDone)
 {
   switch (aResult.outcome_) {
-    case TombstoneOutcome::kStored:
-      aDone({ cells::AnswerStatus::kUnknownJob });
-      return;
     case TombstoneOutcome::kJobExists:
       AnswerFromRecord(aRequest, aResult.record_, aDone, false);
       return;
-    case TombstoneOutcome::kForbidden:
-      aDone({ cells::AnswerStatus::kForbidden });
-      return;
     case TombstoneOutcome::kRefused:
       AnswerFromStore(aRequest, aDone, false); // The job may exist in another cell.
       return;
-    case TombstoneOutcome::kUnknown:
-      aDone({ cells::AnswerStatus::kUnknownOutcome });
+    default:
+      aDone(AnswerTo(aResult.outcome_));
       return;
   }
 }
--- a/tests/unit/NodeProcessTest.cpp
+++ b/tests/unit/NodeProcessTest.cpp
@@ -433,6 +433,28 @@
   BOOST_TEST((Cancel("job1") == cells::AnswerStatus::kUnknownJob));
 }
 
+// Guards against the same where the caller cancels at a host of the last release, which reads the
+// store itself and stores no tombstone.
+BOOST_AUTO_TEST_CASE(CancelCall_OfAnEarlierRelease_SubmissionThatFollowsIsRefused)
+{
+  JobCall cancel = MakeSubmission(1);
+  cancel.kind_ = static_cast<int>(RequestKind::kCancel);
+  cancel.job_.clear();
+  BOOST_TEST((StatusOf(cancel) == cells::AnswerStatus::kUnknownJob));
+  BOOST_TEST((StatusOf(MakeSubmission(1)) == cells::AnswerStatus::kRefused));
+}
+
+// A host of this release stores the tombstone itself.
+BOOST_AUTO_TEST_CASE(CancelCall_OfThisRelease_NothingIsStored)
+{
+  JobCall cancel = MakeSubmission(1);
+  cancel.kind_ = static_cast<int>(RequestKind::kCancel);
+  cancel.job_.clear();
+  cancel.entryHost_ = "b";
+  BOOST_TEST((StatusOf(cancel) == cells::AnswerStatus::kUnknownJob));
+  BOOST_TEST(store_.RevisionOf(cells::JobKey("job1")) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(JobCall_KindDoesNotExist_IsAnsweredAsNotOwned)
 {
   for (const int kind : { -1, 0, 5, 99 }) {
