--- a/src/node/Tombstones.cpp
+++ b/src/node/Tombstones.cpp
@@ -43,7 +43,7 @@
                   TombstoneCallback aDone)
 {
   if (unfinished_ >= kMaxUnfinished || !TakeTombstone(budget_, aOrganisation, Now())) {
-    log::Warn("node", "event=tombstone-refused job=", aJob, " unfinished=", unfinished_);
+    log::Info("node", "event=tombstone-refused job=", aJob, " unfinished=", unfinished_);
     metrics_.Add("quetzal_tombstones_total", { { "outcome", "over-budget" } });
     aDone({ TombstoneOutcome::kRefused, {} });
     return;
