--- a/tests/harness/JobsDeployment.cpp
+++ b/tests/harness/JobsDeployment.cpp
@@ -172,6 +172,12 @@
   return Serialize(MakeJobRequest("POST", TargetOf(aId), JobBody(1, false)));
 }
 
+std::string
+JobsDeployment::CancelBytes(const std::string& aId)
+{
+  return Serialize(MakeJobRequest("DELETE", TargetOf(aId), {}));
+}
+
 std::optional<Response>
 JobsDeployment::Ask(int aEntry,
                     const std::string& aMethod,
--- a/tests/harness/JobsDeployment.h
+++ b/tests/harness/JobsDeployment.h
@@ -29,6 +29,7 @@
 
   /** Returns the bytes of a request that submits a job with one task. */
   static std::string SubmitBytes(const std::string& aId);
+  static std::string CancelBytes(const std::string& aId);
 
   /** Submits a job. @return the status; 0 where the connection ended without an answer. */
   unsigned Submit(int aEntry, const std::string& aId, int aTasks, bool aLasting = false);
--- a/tests/integration/JobsCancelTest.cpp
+++ b/tests/integration/JobsCancelTest.cpp
@@ -1,4 +1,5 @@
 #include "include/quetzal/http/Status.h"
+#include "include/quetzal/node/TombstoneBudget.h"
 #include "tests/harness/JobsDeployment.h"
 #include "tests/harness/RawCaller.h"
 
@@ -16,6 +17,16 @@
 constexpr auto kLastAttempt = 5s;
 constexpr auto kCancelTimeout = 20s;
 
+std::size_t
+CountOf(const std::string& aText, const std::string& aWord)
+{
+  std::size_t count = 0;
+  for (auto at = aText.find(aWord); at != std::string::npos; at = aText.find(aWord, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
 /** Three entry hosts. Callers hand jobs in, leave without an answer and cancel the jobs at another
  * entry host. Whatever happens to the owner, a job whose cancel was answered with "no such job" may
  * not run after that. */
@@ -122,6 +133,40 @@
   CheckNoneOfTheGoneRuns();
 }
 
+/** Guards against a crowd that fills the store with cancels of random ids: each host that claims a
+ * cell reads them. Other callers must be served meanwhile, and accepted jobs be cancelled. */
+BOOST_AUTO_TEST_CASE(Crowd_CancelsJobsThatDoNotExist_IsBoundedAndOthersAreServed)
+{
+  constexpr std::size_t kCallers = 30;
+  constexpr std::size_t kCancelsOfACaller = 80;
+  std::vector<std::unique_ptr<RawCaller>> crowd;
+  int nextUnknown = 1'000'000;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    std::string cancels;
+    for (std::size_t cancel = 0; cancel < kCancelsOfACaller; ++cancel) {
+      cancels += JobsDeployment::CancelBytes(JobsDeployment::IdOf(nextUnknown++));
+    }
+    crowd.push_back(std::make_unique<RawCaller>(jobs_.Callers(0)));
+    crowd.back()->Send(cancels);
+  }
+  const std::string id = JobsDeployment::IdOf(next_++);
+  BOOST_TEST(jobs_.Submit(0, id, 1, true) == quetzal::http::status::kOk);
+  BOOST_TEST(jobs_.Cancel(0, id) == quetzal::http::status::kOk);
+  std::size_t gone = 0;
+  std::size_t refused = 0;
+  for (const auto& caller : crowd) {
+    BOOST_TEST(WaitUntil([&] {
+      return caller->IsClosed() || CountOf(caller->Received(), "HTTP/1.1 ") == kCancelsOfACaller;
+    }));
+    gone += CountOf(caller->Received(), "HTTP/1.1 410");
+    refused += CountOf(caller->Received(), "HTTP/1.1 503");
+  }
+  BOOST_TEST(gone + refused == kCallers * kCancelsOfACaller);
+  // The budget refills while the crowd is served.
+  BOOST_TEST(gone < 2 * static_cast<std::size_t>(quetzal::node::kMaxTombstones));
+  BOOST_TEST(jobs_.Submit(0, JobsDeployment::IdOf(next_++), 1) == quetzal::http::status::kOk);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
