--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -93,6 +93,7 @@
   std::vector<LateCall> BeginCancelledJobs(int aEntry)
   {
     std::vector<LateCall> calls;
+    calls.reserve(kCancelledJobs);
     for (int i = 0; i < kCancelledJobs; ++i) {
       calls.push_back(BeginLateCall((aEntry + 1 + i % 2) % kEntryHosts));
     }
@@ -104,6 +105,7 @@
   void CancelElsewhere(std::vector<LateCall> aCalls)
   {
     std::vector<std::string> ids;
+    ids.reserve(aCalls.size());
     for (const LateCall& call : aCalls) {
       ids.push_back(call.id_);
     }
