--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -74,7 +74,7 @@
   workers::WorkerPortFactory makeWorker_;
   workers::PlacementAdvicePort* advice_ = nullptr; ///< Null if there is none.
   metrics::Registry* metrics_ = nullptr;
-  LeaseTimes times_;
+  workers::LeaseTimes times_;
   LeaseLapseClock sinceLeaseLapse_;
   clock::Milliseconds retention_{ 120'000 }; ///< Ended jobs remain visible at least this long.
   clock::Milliseconds moveTime_{ 1'500 };    ///< Time from allocating a host to its arrival.
--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/quetzal/jobs/Records.h"
+#include "include/quetzal/workers/LeaseTimes.h"
 #include "include/quetzal/workers/WorkerState.h"
 
 #include <QtCore/QObject>
@@ -8,20 +9,6 @@
 
 namespace quetzal::cells {
 
-/** How long leases and start orders are valid. */
-struct LeaseTimes
-{
-  clock::Milliseconds lease_{ 5'000 };       ///< Granted to all runs on a worker at each poll.
-  clock::Milliseconds startWindow_{ 1'000 }; ///< A start order that arrives later is ignored.
-  clock::Milliseconds longest_{ 10'000 };    ///< Workers shorten every longer lease to this.
-
-  bool operator==(const LeaseTimes&) const = default;
-};
-
-/** Returns the longest lease that a worker's clock can show after an owner has granted one. */
-clock::Milliseconds
-LongestLease(const LeaseTimes& aTimes);
-
 /** Returns the time since the store may have ended this owner's lease, or 0 if the lease has
  * certainly not ended. Once the lease has ended, the cell may have another owner. */
 using LeaseLapseClock = std::function<clock::Milliseconds()>;
@@ -41,7 +28,7 @@
   Worker(const workers::Registration& aRegistration,
          std::unique_ptr<workers::WorkerPort> aPort,
          std::int64_t aFence,
-         const LeaseTimes& aTimes,
+         const workers::LeaseTimes& aTimes,
          LeaseLapseClock aSinceLeaseLapse,
          QObject* aParent);
 
@@ -51,7 +38,8 @@
   /** Sends the first poll. */
   void BeginPolling();
 
-  /** Replaces the registration by a newer one. */
+  /** Replaces the registration by a newer one. If it is of a later incarnation than the known one,
+   * nothing is started until a poll has been answered. */
   void Update(const workers::Registration& aRegistration);
 
   /** Replaces the registration by one with another address. What runs there, and whether it is
@@ -95,8 +83,8 @@
   /** Makes the worker unschedulable for the given time. */
   void PauseStarts(clock::Milliseconds aTime);
 
-  /** Orders a run, which uses its capacity from now on. StartFailed is emitted if the run has not
-   * started and never will. */
+  /** Orders a run, which uses its capacity from now on. An order without an answer is repeated.
+   * StartFailed is emitted if the run has not started and never will, in any incarnation. */
   void Start(const workers::StartOrder& aOrder, const workers::Run& aRun);
 
   /** Adds a run that a predecessor ordered. */
@@ -124,9 +112,17 @@
    * read are left to a successor. */
   void StopPolling();
 
-  /** Reports all runs of an unresponsive worker as lapsed. Call it only once none of these runs can
-   * still be running. */
-  void ExpireRuns();
+  /** Gives up a worker of a predecessor that has never answered. Call it only once none of its runs
+   * can still be alive. */
+  void GiveUp();
+
+  /** Reports the runs of an unresponsive worker as lapsed that have ended as it was gone.
+   * @param aSeenGoneAt the latest moment at which it was certainly gone. */
+  void EndTerminatedRuns(clock::Moment aSeenGoneAt);
+
+  /** Returns the time since the worker's incarnation began, as its registration and its answers
+   * tell; nothing if neither does. */
+  std::optional<clock::Milliseconds> Age() const;
 
 Q_SIGNALS:
   /** A poll has been answered or has failed. */
@@ -165,11 +161,23 @@
   void Poll();
   void OnStatus(const workers::WorkerStatus& aStatus, const SentPoll& aPoll);
   void OnPollFailed(const workers::WorkerStatus& aStatus);
-  /** @param aSentTo the incarnation that was known when the order was sent. */
-  void OnStartReply(const jobs::TaskId& aTask,
-                    std::int64_t aRun,
-                    int aSentTo,
-                    const workers::OrderReply& aReply);
+  /** What is known of a start order when it is sent, for the time when its answer arrives. */
+  struct SentStart
+  {
+    std::shared_ptr<const workers::StartOrder> order_;
+    std::int64_t fence_ = 0;
+    int incarnation_ = 0; ///< The one that was known.
+    clock::Moment sentAt_{};
+  };
+  /** Sends the start order of a known run. */
+  void SendStart(const std::shared_ptr<const workers::StartOrder>& aOrder);
+  void OnStartReply(const SentStart& aSent, const workers::OrderReply& aReply);
+  /** Takes an answer by which the order was not carried out. */
+  void OnStartRefused(const workers::RunKey& aKey, workers::OrderStatus aWhy);
+  /** Sends a start order again that got no answer, if that is allowed now. */
+  void RepeatStart(workers::Run& aRun);
+  /** Notes from an answer's clock whether another incarnation has answered. */
+  void CheckIncarnation(clock::Moment aSentAt, std::int64_t aClockMs);
   void SendStop(const jobs::TaskId& aTask, std::int64_t aRun);
   /** Sends a stop again after a delay, if the run is still known then. */
   void RetryStop(const jobs::TaskId& aTask, std::int64_t aRun);
@@ -188,13 +196,14 @@
   void CheckMissingRuns(const std::set<workers::RunKey>& aSeen, const SentPoll& aPoll);
   void RemoveMissingOrphans(const std::set<workers::RunKey>& aSeen, clock::Moment aPolledAt);
   void EndRuns(const std::map<jobs::TaskId, workers::Run>& aRuns, jobs::EndKind aKind);
+  void EndLapsedRuns(clock::Moment aNow);
   void SchedulePoll(clock::Milliseconds aDelay);
   void OnTimer();
 
   workers::Registration registration_;
   std::unique_ptr<workers::WorkerPort> port_;
   std::int64_t fence_;
-  LeaseTimes times_;
+  workers::LeaseTimes times_;
   LeaseLapseClock sinceLeaseLapse_;
   workers::WorkerState state_;
   QTimer timer_;
@@ -206,7 +215,7 @@
   bool cordoned_ = false;
   bool inRoster_ = false;
   bool unresponsive_ = false;
-  /** An answer to a start order since the last poll had an earlier clock reading than that poll. */
+  /** An answer's clock or the registration shows another incarnation than the last poll did. */
   bool mayHaveRestarted_ = false;
   int incarnation_ = 0;
   /** Highest fence of the calls that were meant for an earlier incarnation. */
--- a/include/quetzal/node/NodeSettings.h
+++ b/include/quetzal/node/NodeSettings.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "include/quetzal/cells/Worker.h"
 #include "include/quetzal/clock/Time.h"
 #include "include/quetzal/http/OccupancyLimits.h"
 #include "include/quetzal/settings/Node.h"
+#include "include/quetzal/workers/LeaseTimes.h"
 
 #include <optional>
 #include <string>
@@ -36,7 +36,7 @@
   }; ///< Time from an order to move a host until its worker has registered.
   double processorShare_ = 1; ///< Cores that this process may use.
   double farFactor_ = 1; ///< Duration of a task away from its data, as a multiple of that near it.
-  cells::LeaseTimes leaseTimes_;
+  workers::LeaseTimes leaseTimes_;
   http::HostLimits hostLimits_;
 
   bool operator==(const NodeSettings&) const = default;
--- a/include/quetzal/workers/WorkerState.h
+++ b/include/quetzal/workers/WorkerState.h
@@ -5,6 +5,7 @@
 #include "include/quetzal/workers/WorkerPort.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 
@@ -17,7 +18,8 @@
 enum class RunState : std::uint8_t
 {
   kOrdered,     ///< The start order has been sent and not answered.
-  kUnconfirmed, ///< The start order timed out; the run may have started, or may still start.
+  kUnconfirmed, ///< The start order timed out; the run may have started, or may still start. It is
+                ///< repeated to the same worker under the same number, which starts it only once.
   kRunning,
   kStopping, ///< Uses its capacity until the worker reports its end.
 };
@@ -32,7 +34,11 @@
   bool bestEffort_ = false;
   std::int64_t latencyTargetMs_ = 0;
   clock::Moment orderedAt_{};
+  clock::Moment inFlightSince_{};   ///< When the start order was sent that is not answered yet.
+  clock::Moment unansweredAt_{};    ///< When the last start order was sent that timed out.
   clock::Moment answeredAt_{};      ///< When the start order was answered or timed out.
+  clock::Moment repeatAfter_{};     ///< The start order is not repeated earlier.
+  int repeats_ = 0;                 ///< How often the start order was repeated.
   clock::Moment stopConfirmedAt_{}; ///< When a stop was confirmed; the run cannot start later.
   int progressPercent_ = 0;         ///< As last reported; see RunningTask.
   int speedPercent_ = 100;          ///< Last speed limit sent, in per cent of full speed.
@@ -40,6 +46,7 @@
   bool confirmed_ = false; ///< The present incarnation is known to have carried the order out.
   /** Tail latency in ms of a latency-sensitive task; processor use in millicores of any other. */
   std::int64_t measurement_ = 0;
+  std::shared_ptr<const StartOrder> order_; ///< While it may have to be repeated; else null.
   std::string organisation_; ///< Whose quota the run counts for; empty: nobody's.
   Capacity quotaUse_;        ///< What it counts for.
 };
@@ -87,6 +94,7 @@
   /** Latest end that the lease may have, on the worker's clock: as sent by this owner, or by an
    * earlier one before the incarnation's first answer. */
   std::int64_t leaseEndMs_ = 0;
+  clock::Moment leaseSentAt_{};      ///< When a call with a lease end was last sent.
   std::int64_t startedMs_ = 0;       ///< Unix time of the incarnation's start; 0: not known yet.
   std::int64_t lastReportedEnd_ = 0; ///< Ends up to this number have been reported to the cell.
   std::int64_t lastAcknowledgedEnd_ = 0;  ///< Ends up to this number have been acknowledged.
@@ -117,16 +125,8 @@
 std::map<jobs::TaskId, Run>
 TakeRuns(WorkerState& aState);
 
-/** Removes and returns the runs that have ended with a worker's incarnation, and removes all
- * orphans, which that incarnation had listed. The others stay, unconfirmed and with no confirmed
- * stop: their orders may have been, or may still be, carried out by the next incarnation.
- * @param aPolledAt when the poll was sent that showed the next incarnation. An order that was
- * answered after it may have been answered by the next incarnation. */
-std::map<jobs::TaskId, Run>
-TakeConfirmedRuns(WorkerState& aState, clock::Moment aPolledAt);
-
-/** Returns whether a run has not started, and can no longer start, on a worker that does not list
- * it.
+/** Returns whether a run has not started, and can no longer start, in an incarnation of a worker
+ * that does not list it.
  * @param aFence a fence that the worker had seen when it listed its runs. */
 bool
 IsRejectedBy(const Run& aRun, std::int64_t aFence);
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
+#include "include/quetzal/workers/RunBounds.h"
 
 #include <QtCore/QPointer>
 #include <algorithm>
@@ -270,9 +271,8 @@
   std::vector<jobs::RosterEntry> roster;
   for (const auto& [id, entry] : workers_) {
     const settings::Endpoint& endpoint = entry.worker_->Registration().endpoint_;
-    const bool mayHaveRuns =
-      entry.inherited_ || entry.rosterRequested_ || entry.worker_->UnfinishedRuns() > 0;
-    if (!entry.terminated_ && mayHaveRuns) {
+    const bool mayHaveOrders = entry.inherited_ || entry.rosterRequested_;
+    if ((!entry.terminated_ && mayHaveOrders) || entry.worker_->UnfinishedRuns() > 0) {
       roster.push_back({ id, endpoint.address_, endpoint.port_ });
     }
   }
@@ -340,17 +340,26 @@
 void
 Cell::ExpireUnresponsiveWorkers()
 {
-  const clock::Moment now = Now();
-  const clock::Milliseconds lease = LongestLease(context_.times_);
   // The predecessor's lease had lapsed before this owner's began. A worker that is cut off together
   // with the predecessor may lose its registration and still run tasks until its lease lapses.
-  if (now < startedAt_ + kLeaseLapseGrace + lease + kExpiryMargin) {
-    return;
-  }
+  const clock::Moment lastCall = startedAt_ + kLeaseLapseGrace;
   for (auto& [id, entry] : workers_) {
-    if (entry.inherited_ && !entry.worker_->IsSynchronized()) {
-      log::Warn("cell", "event=worker-given-up cell=", service_, " worker=", id);
-      entry.worker_->ExpireRuns();
+    if (!entry.inherited_ || entry.worker_->IsSynchronized()) {
+      continue;
+    }
+    const auto age = entry.worker_->Age();
+    const auto life = workers::LongestLifeOfPredecessorsRuns(age, context_.times_);
+    if (Now() >= lastCall + life + kExpiryMargin) {
+      log::Warn("cell",
+                "event=worker-given-up cell=",
+                service_,
+                " worker=",
+                id,
+                " age_ms=",
+                age.value_or(clock::Milliseconds(0)).count(),
+                " after_ms=",
+                life.count());
+      entry.worker_->GiveUp();
       entry.inherited_ = false;
     }
   }
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -21,6 +21,8 @@
 /** Time until the roster is written without workers that have left. */
 constexpr clock::Milliseconds kRosterDelay{ 150 };
 constexpr clock::Milliseconds kArrivalHistory{ 4'000 };
+/** Greatest age of the platform's list of hosts that shows a worker as gone. */
+constexpr clock::Milliseconds kMaxListAge{ 2'000 };
 /** Bounds of the window for arrival rates, which is half of the longest job's critical path. */
 constexpr clock::Milliseconds kMinWindow{ 600 };
 constexpr clock::Milliseconds kMaxWindow{ 1'600 };
@@ -151,23 +153,33 @@
 Cell::MarkTerminated(const std::set<std::string>& aWorkers)
 {
   bool any = false;
+  const clock::Moment seenGoneAt = Now() - kMaxListAge;
   for (const std::string& id : aWorkers) {
     const auto entry = workers_.find(id);
-    if (entry == workers_.end() || entry->second.terminated_ ||
-        entry->second.worker_->IsResponsive()) {
+    if (entry == workers_.end() || entry->second.worker_->IsResponsive()) {
       continue;
     }
+    Worker& worker = *entry->second.worker_;
+    if (entry->second.terminated_) {
+      worker.EndTerminatedRuns(seenGoneAt);
+      continue;
+    }
+    const std::size_t runs = worker.State().runs_.size();
+    entry->second.terminated_ = true;
+    entry->second.rosterRequested_ = false;
+    worker.SetInRoster(false);
+    worker.EndTerminatedRuns(seenGoneAt);
     log::Info("cell",
               "event=worker-gone cell=",
               service_,
               " worker=",
               id,
+              " born=",
+              worker.State().startedMs_,
               " runs=",
-              entry->second.worker_->State().runs_.size());
-    entry->second.terminated_ = true;
-    entry->second.rosterRequested_ = false;
-    entry->second.worker_->SetInRoster(false);
-    entry->second.worker_->ExpireRuns();
+              runs,
+              " in_doubt=",
+              worker.State().runs_.size());
     any = true;
   }
   if (any) {
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -1,8 +1,11 @@
 #include "include/quetzal/cells/Worker.h"
 
+#include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
+#include "include/quetzal/workers/RunBounds.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace quetzal::cells {
 namespace {
@@ -19,12 +22,6 @@
 constexpr clock::Milliseconds kIdleInterval{ 3'000 };
 /** Interval between polls of a worker that does not answer. */
 constexpr clock::Milliseconds kUnresponsiveInterval{ 250 };
-constexpr clock::Milliseconds kStopRetryDelay{ 300 };
-/** Time for which nothing is started on a worker that found an order invalid or is unhealthy. */
-constexpr clock::Milliseconds kStartPause{ 700 };
-
-/** Time for which a call that gets no answer may still be carried out. */
-constexpr clock::Milliseconds kMaxCallDelay{ 5'000 };
 
 /** Longest wait of a poll where latency-sensitive and best-effort tasks share the worker, so that
  * latencies are read at least this often. */
@@ -32,17 +29,10 @@
 
 } // namespace
 
-clock::Milliseconds
-LongestLease(const LeaseTimes& aTimes)
-{
-  return std::chrono::duration_cast<clock::Milliseconds>(aTimes.lease_ *
-                                                         (1 + workers::kMaxClockDrift));
-}
-
 Worker::Worker(const workers::Registration& aRegistration,
                std::unique_ptr<workers::WorkerPort> aPort,
                std::int64_t aFence,
-               const LeaseTimes& aTimes,
+               const workers::LeaseTimes& aTimes,
                LeaseLapseClock aSinceLeaseLapse,
                QObject* aParent)
   : QObject(aParent)
@@ -67,6 +57,10 @@
 {
   registered_ = true;
   registration_ = aRegistration;
+  if (state_.startedMs_ != 0 && aRegistration.startedMs_ > state_.startedMs_) {
+    mayHaveRestarted_ = true;
+    PollSoon();
+  }
 }
 
 void
@@ -78,10 +72,13 @@
   const clock::Moment now = std::chrono::steady_clock::now();
   for (auto& [task, run] : state_.runs_) {
     run.speedPercent_ = workers::kUnknownSpeed;
-    if (run.state_ == workers::RunState::kOrdered) {
-      run.state_ = workers::RunState::kUnconfirmed;
+    if (run.inFlightSince_ != clock::Moment{}) {
+      run.unansweredAt_ = std::exchange(run.inFlightSince_, {});
       run.answeredAt_ = now;
       Q_EMIT StartAnswered(run.number_);
+    }
+    if (run.state_ == workers::RunState::kOrdered) {
+      run.state_ = workers::RunState::kUnconfirmed;
     } else if (run.state_ == workers::RunState::kStopping) {
       SendStop(task, run.number_);
     }
@@ -108,7 +105,7 @@
 Worker::IsSchedulable() const
 {
   return synchronized_ && state_.clock_ && registered_ && inRoster_ && !cordoned_ &&
-         !unresponsive_ && !mayObeyStaleCalls_ && !registration_.draining_ &&
+         !unresponsive_ && !mayHaveRestarted_ && !mayObeyStaleCalls_ && !registration_.draining_ &&
          std::chrono::steady_clock::now() >= startsPausedUntil_;
 }
 
@@ -125,171 +122,6 @@
   startsPausedUntil_ = std::max(startsPausedUntil_, std::chrono::steady_clock::now() + aTime);
 }
 
-void
-Worker::Start(const workers::StartOrder& aOrder, const workers::Run& aRun)
-{
-  workers::Run ordered = aRun;
-  ordered.fence_ = fence_;
-  workers::AddRun(state_, aOrder.task_, ordered);
-  workers::StartOrder order = aOrder;
-  order.fence_ = fence_;
-  order.deadlineMs_ = workers::ClockAt(state_, std::chrono::steady_clock::now()) +
-                      static_cast<std::int64_t>(times_.startWindow_.count());
-  state_.leaseEndMs_ = std::max(state_.leaseEndMs_, order.deadlineMs_);
-  const jobs::TaskId task = aOrder.task_;
-  const std::int64_t run = aOrder.run_;
-  port_->Start(order, [this, task, run, sentTo = incarnation_](const auto& aReply) {
-    Q_EMIT StartAnswered(run);
-    OnStartReply(task, run, sentTo, aReply);
-  });
-  if (state_.runs_.size() == 1) {
-    PollSoon();
-  }
-}
-
-void
-Worker::OnStartReply(const jobs::TaskId& aTask,
-                     std::int64_t aRun,
-                     int aSentTo,
-                     const workers::OrderReply& aReply)
-{
-  using workers::OrderStatus;
-  const auto entry = state_.runs_.find(aTask);
-  if (entry == state_.runs_.end() || entry->second.number_ != aRun) {
-    return;
-  }
-  entry->second.answeredAt_ = std::chrono::steady_clock::now();
-  // An earlier clock reading does not prove a restart, since answers may overtake each other. The
-  // next poll shows whether the worker has restarted.
-  mayHaveRestarted_ = mayHaveRestarted_ || (aReply.clockMs_ != 0 && state_.clock_ &&
-                                            aReply.clockMs_ < state_.clock_->clockMs_);
-  switch (aReply.status_) {
-    case OrderStatus::kAccepted:
-      entry->second.confirmed_ = true;
-      if (entry->second.state_ == workers::RunState::kOrdered) {
-        entry->second.state_ = workers::RunState::kRunning;
-      }
-      return;
-    case OrderStatus::kFenced:
-      if (entry->second.fence_ == fence_) {
-        Q_EMIT Fenced();
-        return;
-      }
-      break; // The worker started again before the order arrived.
-    case OrderStatus::kNoAnswer:
-      if (entry->second.state_ == workers::RunState::kOrdered) {
-        entry->second.state_ = workers::RunState::kUnconfirmed;
-      }
-      PollSoon();
-      return;
-    case OrderStatus::kOtherIncarnation:
-      if (aSentTo == incarnation_) {
-        EndIncarnation();
-        PollSoon();
-        return;
-      }
-      break; // The worker has answered under its id since.
-    case OrderStatus::kUnhealthy:
-    case OrderStatus::kInvalid:
-      PauseStarts(kStartPause);
-      break;
-    default:
-      break;
-  }
-  workers::RemoveRun(state_, aTask, aRun);
-  Q_EMIT StartFailed(aTask, aRun, aReply.status_);
-}
-
-void
-Worker::Adopt(const jobs::TaskId& aTask, const workers::Run& aRun)
-{
-  workers::Run adopted = aRun;
-  adopted.confirmed_ = true;
-  workers::AddRun(state_, aTask, adopted);
-}
-
-void
-Worker::StopOrphan(const jobs::TaskId& aTask, const workers::Run& aRun)
-{
-  log::Detail("worker",
-              "event=stray-stopped worker=",
-              registration_.id_,
-              " task=",
-              jobs::ToString(aTask),
-              " run=",
-              aRun.number_);
-  workers::Run stopping = aRun;
-  stopping.state_ = workers::RunState::kStopping;
-  stopping.confirmed_ = true;
-  if (workers::AddOrphan(state_, aTask, stopping)) {
-    SendStop(aTask, aRun.number_);
-  }
-}
-
-void
-Worker::Stop(const jobs::TaskId& aTask)
-{
-  const auto entry = state_.runs_.find(aTask);
-  if (entry == state_.runs_.end()) {
-    return;
-  }
-  entry->second.state_ = workers::RunState::kStopping;
-  SendStop(aTask, entry->second.number_);
-}
-
-void
-Worker::SendStop(const jobs::TaskId& aTask, std::int64_t aRun)
-{
-  const auto onReply = [this, aTask, aRun, fence = fence_, incarnation = incarnation_](
-                         const workers::OrderReply& aReply) {
-    workers::Run* const run = workers::FindRun(state_, { aTask, aRun });
-    if (run == nullptr) {
-      return;
-    }
-    // An answer that arrives after a restart may be of the earlier incarnation.
-    const bool isCurrent = incarnation == incarnation_;
-    if (aReply.status_ == workers::OrderStatus::kFenced && fence == fence_) {
-      Q_EMIT Fenced();
-    } else if (isCurrent && aReply.status_ == workers::OrderStatus::kOtherIncarnation) {
-      EndIncarnation();
-      PollSoon();
-    } else if (isCurrent && aReply.status_ == workers::OrderStatus::kAccepted) {
-      run->stopConfirmedAt_ = std::chrono::steady_clock::now();
-      PollSoon();
-    } else {
-      RetryStop(aTask, aRun);
-    }
-  };
-  port_->Stop(aTask, aRun, fence_, onReply);
-}
-
-void
-Worker::RetryStop(const jobs::TaskId& aTask, std::int64_t aRun)
-{
-  QTimer::singleShot(kStopRetryDelay, this, [this, aTask, aRun] {
-    if (workers::FindRun(state_, { aTask, aRun }) != nullptr) {
-      SendStop(aTask, aRun);
-    }
-  });
-}
-
-void
-Worker::SetSpeed(const jobs::TaskId& aTask, int aPercent)
-{
-  const auto entry = state_.runs_.find(aTask);
-  if (entry != state_.runs_.end()) {
-    const std::int64_t run = entry->second.number_;
-    entry->second.speedPercent_ = aPercent;
-    port_->SetSpeed(aTask, run, aPercent, fence_, [this, aTask, run](const auto& aReply) {
-      const auto current = state_.runs_.find(aTask);
-      if (aReply.status_ != workers::OrderStatus::kAccepted && current != state_.runs_.end() &&
-          current->second.number_ == run) {
-        current->second.speedPercent_ = workers::kUnknownSpeed;
-      }
-    });
-  }
-}
-
 void
 Worker::MarkRecorded(int aIncarnation, std::int64_t aNumber)
 {
@@ -335,20 +167,34 @@
   const clock::Moment now = std::chrono::steady_clock::now();
   // If the cell may have another owner, that owner may have renewed the lease.
   const bool isOwner = sinceLeaseLapse_() == clock::Milliseconds(0);
-  if (unresponsive_ && isOwner && workers::HasRuns(state_) &&
-      workers::HasLeaseLapsed(state_, now)) {
-    log::Warn("worker",
-              "event=lease-lapsed worker=",
-              registration_.id_,
-              " runs=",
-              state_.runs_.size(),
-              " granted_ms=",
-              state_.leaseEndMs_);
-    EndRuns(workers::TakeRuns(state_), jobs::EndKind::kLapsed);
+  if (unresponsive_ && isOwner && workers::HasRuns(state_)) {
+    EndLapsedRuns(now);
   }
   Poll();
 }
 
+void
+Worker::EndLapsedRuns(clock::Moment aNow)
+{
+  const std::map<jobs::TaskId, workers::Run> lapsed =
+    workers::TakeLapsedRuns(state_, aNow, times_);
+  if (lapsed.empty()) {
+    return;
+  }
+  log::Warn("worker",
+            "event=lease-lapsed worker=",
+            registration_.id_,
+            " born=",
+            state_.startedMs_,
+            " runs=",
+            lapsed.size(),
+            " in_doubt=",
+            state_.runs_.size(),
+            " granted_ms=",
+            state_.leaseEndMs_);
+  EndRuns(lapsed, jobs::EndKind::kLapsed);
+}
+
 void
 Worker::Poll()
 {
@@ -363,13 +209,15 @@
   // Ends of a new incarnation are numbered from 1 again. A number is therefore acknowledged only
   // once, and only to a worker that has answered since it reported that end.
   const std::int64_t recorded = workers::RecordedUpTo(state_);
+  const bool isKnown = !unresponsive_ && !mayHaveRestarted_;
   order.acknowledgeUpTo_ =
-    unresponsive_ || mayHaveRestarted_ || recorded <= state_.lastAcknowledgedEnd_ ? 0 : recorded;
+    isKnown && recorded > state_.lastAcknowledgedEnd_ ? recorded : 0;
   const bool mayRenew = sinceLeaseLapse_() < kLeaseLapseGrace;
-  if (state_.clock_ && workers::HasRuns(state_) && !unresponsive_ && mayRenew) {
+  if (state_.clock_ && workers::HasRuns(state_) && isKnown && mayRenew) {
     order.leaseEndMs_ =
       workers::ClockAt(state_, now) + static_cast<std::int64_t>(times_.lease_.count());
     state_.leaseEndMs_ = std::max(state_.leaseEndMs_, *order.leaseEndMs_);
+    state_.leaseSentAt_ = now;
     order.wait_ = state_.unrecordedEnds_.empty() ? kPollWait : kPollWait / 10;
     if (mayObeyStaleCalls_) {
       order.wait_ = 0ms;
@@ -459,11 +307,11 @@
     // Calls for the earlier incarnation carry lease ends of its clock, which may be far ahead.
     mayObeyStaleCalls_ = aFence <= staleFence_;
     workers::BeginClock(
-      state_, reading, times_.longest_ + (mayObeyStaleCalls_ ? kMaxCallDelay : 0ms));
+      state_, reading, times_.longest_ + (mayObeyStaleCalls_ ? times_.maxCallDelay_ : 0ms));
   } else if (state_.clock_) {
     state_.clock_ = reading;
   } else {
-    workers::BeginClock(state_, reading, LongestLease(times_));
+    workers::BeginClock(state_, reading, workers::LeaseAtFirstAnswer(Age(), times_));
   }
 }
 
@@ -478,7 +326,7 @@
   ForgetIncarnation(aStartedMs);
   staleFence_ = fence_;
   mayObeyStaleCalls_ = true;
-  EndRuns(workers::TakeConfirmedRuns(state_, aPolledAt), jobs::EndKind::kLapsed);
+  EndRuns(workers::TakeConfirmedRuns(state_, aPolledAt, times_), jobs::EndKind::kLapsed);
   for (const auto& [task, run] : state_.runs_) {
     log::Warn("worker",
               "event=order-in-doubt worker=",
@@ -531,13 +379,31 @@
 }
 
 void
-Worker::ExpireRuns()
+Worker::GiveUp()
 {
   synchronized_ = true;
   unresponsive_ = true;
   EndRuns(workers::TakeRuns(state_), jobs::EndKind::kLapsed);
 }
 
+void
+Worker::EndTerminatedRuns(clock::Moment aSeenGoneAt)
+{
+  synchronized_ = true;
+  unresponsive_ = true;
+  EndRuns(workers::TakeTerminatedRuns(state_, aSeenGoneAt, times_), jobs::EndKind::kLapsed);
+}
+
+std::optional<clock::Milliseconds>
+Worker::Age() const
+{
+  const std::int64_t startedMs = std::max(state_.startedMs_, registration_.startedMs_);
+  if (startedMs == 0) {
+    return std::nullopt;
+  }
+  return clock::Milliseconds(clock::UnixMs() - startedMs);
+}
+
 void
 Worker::ReadEnds(const std::vector<workers::EndedTask>& aEnds)
 {
@@ -579,31 +445,30 @@
 void
 Worker::CheckMissingRuns(const std::set<workers::RunKey>& aSeen, const SentPoll& aPoll)
 {
-  std::vector<std::pair<jobs::TaskId, std::int64_t>> missing;
-  std::vector<std::pair<jobs::TaskId, std::int64_t>> toStop;
-  const clock::Moment never{};
+  std::vector<workers::RunKey> missing;
   for (auto& [task, run] : state_.runs_) {
-    const bool rejected = workers::IsRejectedBy(run, aPoll.fence_);
-    if (aSeen.contains({ task, run.number_ }) ||
-        (run.state_ == workers::RunState::kOrdered && !rejected)) {
+    const clock::Moment never{};
+    const bool isInFlight = run.inFlightSince_ != never;
+    if (aSeen.contains({ task, run.number_ }) || isInFlight) {
       continue;
     }
     const bool stopConfirmed = workers::IsStopConfirmed(run, aPoll.sentAt_);
     const bool answered = run.answeredAt_ != never && run.answeredAt_ < aPoll.sentAt_;
-    if (rejected || stopConfirmed || (run.state_ == workers::RunState::kRunning && answered)) {
-      missing.emplace_back(task, run.number_);
-    } else if (run.state_ == workers::RunState::kUnconfirmed && answered) {
-      run.state_ = workers::RunState::kStopping;
-      toStop.emplace_back(task, run.number_);
+    const bool isStopping = run.state_ == workers::RunState::kStopping;
+    if (!workers::IsRejectedBy(run, aPoll.fence_) && !stopConfirmed && (isStopping || !answered)) {
+      continue;
+    }
+    if (stopConfirmed || !workers::MayStillBegin(run, aPoll.sentAt_, times_)) {
+      missing.push_back({ task, run.number_ });
+    } else if (!isStopping) {
+      run.state_ = workers::RunState::kUnconfirmed;
+      RepeatStart(run);
     }
   }
   RemoveMissingOrphans(aSeen, aPoll.sentAt_);
-  for (const auto& [task, run] : missing) {
-    workers::RemoveRun(state_, task, run);
-    Q_EMIT StartFailed(task, run, workers::OrderStatus::kNoAnswer);
-  }
-  for (const auto& [task, run] : toStop) {
-    SendStop(task, run);
+  for (const workers::RunKey& key : missing) {
+    workers::RemoveRun(state_, key.task_, key.number_);
+    Q_EMIT StartFailed(key.task_, key.number_, workers::OrderStatus::kNoAnswer);
   }
 }
 
--- /dev/null
+++ b/src/workers/RunBounds.cpp
@@ -0,0 +1,179 @@
+#include "include/quetzal/workers/RunBounds.h"
+
+#include <algorithm>
+
+namespace quetzal::workers {
+namespace {
+
+constexpr clock::Moment kNever{};
+
+/** Margin of a worker's age: the difference between two hosts' times of day, and the time until an
+ * owner notices that the incarnation before has ended. */
+constexpr clock::Milliseconds kAgeMargin{ 5'000 };
+/** Margin between two clocks that are rounded to milliseconds. */
+constexpr double kClockMarginMs = 5;
+
+double
+MillisecondsBetween(clock::Moment aThen, clock::Moment aNow)
+{
+  return std::chrono::duration<double, std::milli>(aNow - aThen).count();
+}
+
+/** Returns the earliest reading that the present incarnation's clock can have had at a moment. */
+double
+EarliestClockAt(const WorkerState& aState, clock::Moment aAt)
+{
+  const double passed = MillisecondsBetween(aState.clock_->readAt_, aAt);
+  const double slowest = passed > 0 ? passed * (1 - kMaxClockDrift) : passed;
+  return static_cast<double>(aState.clock_->clockMs_) + slowest - kClockMarginMs;
+}
+
+/** Returns the latest moment at which a run may be alive that an unknown incarnation has begun on a
+ * call sent at the given time. Later calls may have made its lease longer. */
+clock::Moment
+LatestEndInDoubt(const WorkerState& aState, clock::Moment aSentAt, const LeaseTimes& aTimes)
+{
+  return std::max(aSentAt, aState.leaseSentAt_) + aTimes.maxCallDelay_ +
+         LongestTime(aTimes.longest_);
+}
+
+/** Returns whether an incarnation is too young for all calls that were meant for the one before it
+ * to have been carried out, and for leases that they granted to have ended. */
+bool
+MayHaveStaleLease(std::optional<clock::Milliseconds> aAge, const LeaseTimes& aTimes)
+{
+  const clock::Milliseconds oldest =
+    aTimes.maxCallDelay_ + LongestTime(aTimes.longest_) + kAgeMargin;
+  return !aAge || *aAge < oldest;
+}
+
+void
+RemoveOrphans(WorkerState& aState)
+{
+  while (!aState.orphans_.empty()) {
+    const RunKey key = aState.orphans_.begin()->first;
+    RemoveRun(aState, key.task_, key.number_);
+  }
+}
+
+/** Removes and returns the runs that fulfil a condition. */
+template<typename Condition>
+std::map<jobs::TaskId, Run>
+TakeRunsIf(WorkerState& aState, const Condition& aCondition)
+{
+  std::map<jobs::TaskId, Run> taken;
+  for (const auto& [task, run] : aState.runs_) {
+    if (aCondition(run)) {
+      taken.emplace(task, run);
+    }
+  }
+  for (const auto& [task, run] : taken) {
+    RemoveRun(aState, task, run.number_);
+  }
+  return taken;
+}
+
+} // namespace
+
+clock::Milliseconds
+LongestTime(clock::Milliseconds aLease)
+{
+  return std::chrono::duration_cast<clock::Milliseconds>(aLease * (1 + kMaxClockDrift));
+}
+
+bool
+IsOfPresentIncarnation(const WorkerState& aState,
+                       clock::Moment aSentAt,
+                       clock::Moment aReceivedAt,
+                       std::int64_t aClockMs)
+{
+  if (!aState.clock_ || aClockMs == 0) {
+    return false;
+  }
+  const double sinceReading =
+    std::max(0.0, MillisecondsBetween(aState.clock_->readAt_, aReceivedAt));
+  const double latest =
+    static_cast<double>(aState.clock_->clockMs_) + sinceReading * (1 + kMaxClockDrift);
+  const auto clock = static_cast<double>(aClockMs);
+  return clock >= EarliestClockAt(aState, aSentAt) && clock <= latest + kClockMarginMs;
+}
+
+clock::Moment
+LastUnanswered(const Run& aRun)
+{
+  return std::max(aRun.unansweredAt_, aRun.inFlightSince_);
+}
+
+bool
+MayStillBegin(const Run& aRun, clock::Moment aAt, const LeaseTimes& aTimes)
+{
+  const clock::Moment sentAt = LastUnanswered(aRun);
+  return sentAt != kNever && aAt <= sentAt + aTimes.maxCallDelay_;
+}
+
+bool
+MayBeAlive(const WorkerState& aState, const Run& aRun, clock::Moment aNow, const LeaseTimes& aTimes)
+{
+  if (aRun.confirmed_ && !HasLeaseLapsed(aState, aNow)) {
+    return true;
+  }
+  const clock::Moment sentAt =
+    aRun.confirmed_ ? LastUnanswered(aRun) : std::max(LastUnanswered(aRun), aRun.answeredAt_);
+  return sentAt != kNever && aNow <= LatestEndInDoubt(aState, sentAt, aTimes);
+}
+
+std::map<jobs::TaskId, Run>
+TakeLapsedRuns(WorkerState& aState, clock::Moment aNow, const LeaseTimes& aTimes)
+{
+  if (HasLeaseLapsed(aState, aNow)) {
+    RemoveOrphans(aState);
+  }
+  return TakeRunsIf(aState, [&aState, aNow, &aTimes](const Run& aRun) {
+    return !MayBeAlive(aState, aRun, aNow, aTimes);
+  });
+}
+
+std::map<jobs::TaskId, Run>
+TakeTerminatedRuns(WorkerState& aState, clock::Moment aSeenGoneAt, const LeaseTimes& aTimes)
+{
+  RemoveOrphans(aState);
+  return TakeRunsIf(aState, [aSeenGoneAt, &aTimes](const Run& aRun) {
+    // An order that was answered by an unknown incarnation may be of one that began later.
+    const bool mayBeLater = !aRun.confirmed_ && aRun.answeredAt_ > aSeenGoneAt;
+    return !mayBeLater && !MayStillBegin(aRun, aSeenGoneAt, aTimes);
+  });
+}
+
+std::map<jobs::TaskId, Run>
+TakeConfirmedRuns(WorkerState& aState, clock::Moment aPolledAt, const LeaseTimes& aTimes)
+{
+  RemoveOrphans(aState);
+  const auto confirmed = TakeRunsIf(aState, [aPolledAt, &aTimes](const Run& aRun) {
+    return aRun.confirmed_ && aRun.answeredAt_ < aPolledAt &&
+           !MayStillBegin(aRun, aPolledAt, aTimes);
+  });
+  for (auto& [task, run] : aState.runs_) {
+    run.confirmed_ = false;
+    run.stopConfirmedAt_ = {};
+    run.speedPercent_ = kUnknownSpeed;
+    if (run.state_ == RunState::kRunning) {
+      run.state_ = RunState::kUnconfirmed;
+    }
+  }
+  return confirmed;
+}
+
+clock::Milliseconds
+LeaseAtFirstAnswer(std::optional<clock::Milliseconds> aAge, const LeaseTimes& aTimes)
+{
+  return MayHaveStaleLease(aAge, aTimes) ? aTimes.longest_ : LongestTime(aTimes.lease_);
+}
+
+clock::Milliseconds
+LongestLifeOfPredecessorsRuns(std::optional<clock::Milliseconds> aAge, const LeaseTimes& aTimes)
+{
+  return MayHaveStaleLease(aAge, aTimes) ? aTimes.maxCallDelay_ + LongestTime(aTimes.longest_)
+                                         : LongestTime(aTimes.lease_);
+}
+
+} // namespace quetzal::workers
--- a/src/workers/WorkerState.cpp
+++ b/src/workers/WorkerState.cpp
@@ -106,29 +106,6 @@
   return runs;
 }
 
-std::map<jobs::TaskId, Run>
-TakeConfirmedRuns(WorkerState& aState, clock::Moment aPolledAt)
-{
-  std::map<jobs::TaskId, Run> confirmed;
-  for (auto& [task, run] : aState.runs_) {
-    if (run.confirmed_ && run.answeredAt_ < aPolledAt) {
-      confirmed.emplace(task, run);
-    } else {
-      run.confirmed_ = false;
-      run.stopConfirmedAt_ = {};
-      run.speedPercent_ = kUnknownSpeed;
-    }
-  }
-  for (const auto& [task, run] : confirmed) {
-    RemoveRun(aState, task, run.number_);
-  }
-  for (const auto& [key, orphan] : aState.orphans_) {
-    AddToTotals(aState, orphan, -1);
-  }
-  aState.orphans_.clear();
-  return confirmed;
-}
-
 bool
 IsRejectedBy(const Run& aRun, std::int64_t aFence)
 {
--- a/tests/unit/CellFixture.h
+++ b/tests/unit/CellFixture.h
@@ -16,7 +16,10 @@
 using cells::AnswerStatus;
 using cells::Cell;
 using cells::CellContext;
-using cells::LeaseTimes;
+using workers::LeaseTimes;
+
+/** A late call is carried out within this time after it was sent. */
+inline constexpr std::chrono::milliseconds kMaxCallDelay{ 400 };
 
 /** A cell "svc" with queue "q", on workers and a store in memory. */
 struct CellFixture
@@ -164,7 +167,10 @@
   metrics::Registry metrics_;
   double farFactor_ = 1; ///< Of the cells taken over from now on.
   clock::Milliseconds sinceLeaseLapse_{ 0 };
-  LeaseTimes times_{ std::chrono::milliseconds(400), std::chrono::milliseconds(200) };
+  LeaseTimes times_{ std::chrono::milliseconds(400),
+                     std::chrono::milliseconds(200),
+                     std::chrono::milliseconds(10'000),
+                     kMaxCallDelay };
   const jobs::TaskId first_{ "job1", 0, 0, 0 };
 };
 
--- a/tests/unit/CellOrphansTest.cpp
+++ b/tests/unit/CellOrphansTest.cpp
@@ -261,7 +261,7 @@
   ListRuns({ 8, 7 });
   BOOST_TEST(WaitForStops(7, 1));
   worker_.StopPolling();
-  worker_.ExpireRuns();
+  worker_.GiveUp();
   BOOST_TEST(worker_.UnfinishedRuns() == 0);
   BOOST_TEST(UsedCpu() == 0);
 }
--- a/tests/unit/CellTest.cpp
+++ b/tests/unit/CellTest.cpp
@@ -616,7 +616,7 @@
   BOOST_TEST(rosterSize() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(Start_Unanswered_IsStoppedBeforeTheTaskStartsAgain)
+BOOST_AUTO_TEST_CASE(Start_Unanswered_IsRepeatedUnderItsNumberAndBeginsOnce)
 {
   FakeWorker& worker = AddWorker("w1");
   const auto cell = TakeOver("a");
@@ -625,10 +625,12 @@
   Submit(*cell, "job1", Spec(1));
   BOOST_TEST(RunUntil([&] { return worker.running_.contains(first_); }));
   const std::int64_t run = worker.RunOf(first_);
+  BOOST_TEST(worker.sentStarts_ == 2);
   worker.RunLate();
   BOOST_TEST(worker.RunOf(first_) == run);
   BOOST_TEST(worker.starts_.size() == 1U);
-  BOOST_TEST(worker.highestEndedRuns_.at(first_) < run);
+  BOOST_TEST(worker.concurrentStarts_ == 0);
+  BOOST_TEST(!worker.highestEndedRuns_.contains(first_));
 }
 
 BOOST_AUTO_TEST_CASE(Start_DoneButUnanswered_RunIsKept)
--- a/tests/unit/WorkerRestartTest.cpp
+++ b/tests/unit/WorkerRestartTest.cpp
@@ -159,13 +159,27 @@
 
 BOOST_AUTO_TEST_CASE(Stop_LateOverARestart_TaskRunsOnceAtATime)
 {
+  Submit(*cell_, "job1", Spec(1, true));
+  BOOST_TEST(WaitForRun(worker_, first_));
+  RunFor(100ms);
   worker_.stopFates_ = { OrderFate::kLate };
+  cell_->EvictTasks("w1");
+  BOOST_TEST(RunUntil([this] { return worker_.late_.size() == 1; }));
+  worker_.Reboot();
+  BOOST_TEST(WaitForRun(worker_, first_));
+  worker_.RunLate();
+  RunFor(700ms);
+  BOOST_TEST(mostRuns_ == 1);
+  BOOST_TEST(worker_.concurrentStarts_ == 0);
+  BOOST_TEST(fleet_.RunsOf(first_) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(Order_RepeatedAndLateOverARestart_TaskRunsOnceAtATime)
+{
   worker_.startFates_ = { OrderFate::kLate };
   Submit(*cell_, "job1", Spec(1));
-  BOOST_TEST(RunUntil([this] { return worker_.late_.size() == 2; }));
+  BOOST_TEST(WaitForRun(worker_, first_));
   worker_.Reboot();
-  BOOST_TEST(WaitForPoll());
-  RunFor(100ms);
   worker_.RunLate();
   CheckTaskRunsOnce();
 }
--- a/tests/unit/WorkerStateTest.cpp
+++ b/tests/unit/WorkerStateTest.cpp
@@ -1,4 +1,4 @@
-#include "include/quetzal/workers/WorkerState.h"
+#include "include/quetzal/workers/RunBounds.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -20,6 +20,7 @@
 
   const jobs::TaskId task_{ "j", 0, 0, 0 };
   clock::Moment now_ = clock::Moment() + 1h;
+  const LeaseTimes times_;
 };
 
 BOOST_FIXTURE_TEST_SUITE(WorkerStates, WorkerStateFixture)
@@ -77,7 +78,7 @@
   AddRun(state, task_, confirmed);
   const jobs::TaskId other{ "j", 0, 0, 1 };
   AddRun(state, other, MakeRun(2, 200));
-  BOOST_TEST(TakeConfirmedRuns(state, now_).contains(task_));
+  BOOST_TEST(TakeConfirmedRuns(state, now_, times_).contains(task_));
   BOOST_TEST(state.runs_.size() == 1U);
   BOOST_TEST(state.runs_.contains(other));
   BOOST_TEST(state.used_.cpu_ == 200);
@@ -91,7 +92,7 @@
   confirmed.answeredAt_ = now_ + 1ms;
   confirmed.stopConfirmedAt_ = now_ + 2ms;
   AddRun(state, task_, confirmed);
-  BOOST_TEST(TakeConfirmedRuns(state, now_).empty());
+  BOOST_TEST(TakeConfirmedRuns(state, now_, times_).empty());
   BOOST_TEST(!state.runs_.at(task_).confirmed_);
   BOOST_TEST(!IsStopConfirmed(state.runs_.at(task_), now_ + 1h));
 }
@@ -142,7 +143,7 @@
   WorkerState state;
   AddRun(state, task_, MakeRun(2, 700)); // Its order has no answer.
   AddOrphan(state, task_, MakeRun(1, 500));
-  BOOST_TEST(TakeConfirmedRuns(state, now_).empty());
+  BOOST_TEST(TakeConfirmedRuns(state, now_, times_).empty());
   BOOST_TEST(state.used_.cpu_ == 700);
   AddOrphan(state, task_, MakeRun(1, 500));
   BOOST_TEST(TakeRuns(state).size() == 1);
@@ -204,7 +205,7 @@
   AddRun(state, task_, run);
   run.number_ = 4;
   AddOrphan(state, task_, run);
-  TakeConfirmedRuns(state, now_);
+  TakeConfirmedRuns(state, now_, times_);
   BOOST_TEST(use.organisations_.empty());
 }
 
