--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -265,7 +265,8 @@
   void EndRound();
   std::vector<WaitingJob> WaitingJobs(clock::Moment aNow);
   std::vector<placement::Candidate> Candidates(std::vector<WorkerEntry*>& aEntries) const;
-  std::set<jobs::TaskId> OrphanedTasks() const;
+  /** Returns the tasks that have an orphaned run, or whose open order may still begin one. */
+  std::set<jobs::TaskId> BlockedTasks() const;
 
   /** The quotas in force, by organisation. */
   using Quotas = std::map<std::string, workers::Capacity>;
@@ -276,9 +277,9 @@
     clock::Moment now_{};
     std::vector<placement::Candidate> candidates_;
     std::vector<WorkerEntry*> entries_; ///< Of each candidate.
-    /** Tasks with a run that is being stopped as an orphan: they are not started anywhere until it
-     * has ended. */
-    std::set<jobs::TaskId> orphaned_;
+    /** Tasks that may have a run beside those that are known: they are started nowhere until it has
+     * ended, or can no longer begin. */
+    std::set<jobs::TaskId> blocked_;
     Quotas quotas_;
     organisations::FairShares shares_; ///< Empty without organisations.
     int failedSearches_ = 0;           ///< Searches of all candidates that found none for a task.
--- a/include/quetzal/workers/RunBounds.h
+++ b/include/quetzal/workers/RunBounds.h
@@ -12,8 +12,8 @@
  * without its end being listed, or gives an order up, asks the functions here. */
 namespace quetzal::workers {
 
-/** Returns whether an answer's clock can be that of the incarnation that state.clock_ was read from.
- * Each incarnation's clock begins anew, so that another one's reading lies elsewhere.
+/** Returns whether an answer's clock can be that of the incarnation that state.clock_ was read
+ * from. Each incarnation's clock begins anew, so that another one's reading lies elsewhere.
  * @param aSentAt when the call was sent.
  * @param aClockMs the clock in the answer; 0 where there was none. */
 bool
@@ -58,6 +58,19 @@
 std::map<jobs::TaskId, Run>
 TakeConfirmedRuns(WorkerState& aState, clock::Moment aPolledAt, const LeaseTimes& aTimes);
 
+/** Removes a run that has ended on the worker. If it is not done, its task is not over, and an
+ * order without an answer stays open: the worker's next incarnation may carry it out. */
+void
+RemoveEndedRun(WorkerState& aState, const RunKey& aKey, jobs::EndKind aKind);
+
+/** Removes the open orders that can no longer be carried out. A run that a later incarnation has
+ * begun on one may be alive for longer on a worker that does not answer. */
+void
+RemoveSettledOrders(WorkerState& aState,
+                    bool aIsResponsive,
+                    clock::Moment aNow,
+                    const LeaseTimes& aTimes);
+
 /** Returns the longest lease that may be in force on a worker whose first answer an owner reads.
  * @param aAge of the worker's incarnation; nothing if it is not known. */
 clock::Milliseconds
--- a/include/quetzal/workers/WorkerState.h
+++ b/include/quetzal/workers/WorkerState.h
@@ -47,8 +47,8 @@
   /** Tail latency in ms of a latency-sensitive task; processor use in millicores of any other. */
   std::int64_t measurement_ = 0;
   std::shared_ptr<const StartOrder> order_; ///< While it may have to be repeated; else null.
-  std::string organisation_; ///< Whose quota the run counts for; empty: nobody's.
-  Capacity quotaUse_;        ///< What it counts for.
+  std::string organisation_;                ///< Whose quota the run counts for; empty: nobody's.
+  Capacity quotaUse_;                       ///< What it counts for.
 };
 
 /** Names one run. The tasks of a gang have the same run number. */
@@ -87,6 +87,10 @@
   /** Runs that the owner neither ordered nor adopted, and stops. A task may have several of them
    * beside its run in runs_. */
   std::map<RunKey, Run> orphans_;
+  /** When a start order without an answer was last sent, of runs that have ended without being
+   * done.
+   */
+  std::map<RunKey, clock::Moment> openOrders_;
   Capacity used_; ///< By all runs, including orphans.
   RunCounts counts_;
   organisations::QuotaUse* quotaUse_ = nullptr; ///< Of the worker's cell; null: not counted.
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -304,7 +304,7 @@
   }
   const bool isUnknown = aEntry.inherited_ && !worker.IsSynchronized();
   // If the worker only lost its registration, it would list ends that are not stored yet again.
-  return !isUnknown && worker.UnfinishedRuns() == 0;
+  return !isUnknown && worker.UnfinishedRuns() == 0 && worker.State().openOrders_.empty();
 }
 
 // --- Sharing --------------------------------------------------------------------------------
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -191,13 +191,16 @@
 }
 
 std::set<jobs::TaskId>
-Cell::OrphanedTasks() const
+Cell::BlockedTasks() const
 {
   std::set<jobs::TaskId> tasks;
   for (const auto& [id, entry] : workers_) {
     for (const auto& [key, orphan] : entry.worker_->State().orphans_) {
       tasks.insert(key.task_);
     }
+    for (const auto& [key, sentAt] : entry.worker_->State().openOrders_) {
+      tasks.insert(key.task_);
+    }
   }
   return tasks;
 }
@@ -206,7 +209,7 @@
 Cell::MayStart(const jobs::TaskState& aState, const jobs::TaskId& aTask, const Round& aRound)
 {
   return aState.phase_ == jobs::TaskPhase::kWaiting && aState.notBefore_ <= aRound.now_ &&
-         !aRound.orphaned_.contains(aTask);
+         !aRound.blocked_.contains(aTask);
 }
 
 void
@@ -224,7 +227,7 @@
   }
   Round round;
   round.now_ = now;
-  round.orphaned_ = OrphanedTasks();
+  round.blocked_ = BlockedTasks();
   round.quotas_ = QuotasInForce();
   if (!round.quotas_.empty()) {
     KnowsAllRuns();
@@ -574,7 +577,7 @@
       continue;
     }
     const jobs::TaskId id{ aJob.id_, aOccurrence, aStep, i };
-    if (aRound.orphaned_.contains(id)) {
+    if (aRound.blocked_.contains(id)) {
       continue;
     }
     if (!IsWithinQuota(aJob, spec, aRound)) {
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -176,8 +176,7 @@
 void
 Worker::EndLapsedRuns(clock::Moment aNow)
 {
-  const std::map<jobs::TaskId, workers::Run> lapsed =
-    workers::TakeLapsedRuns(state_, aNow, times_);
+  const std::map<jobs::TaskId, workers::Run> lapsed = workers::TakeLapsedRuns(state_, aNow, times_);
   if (lapsed.empty()) {
     return;
   }
@@ -201,6 +200,7 @@
   if (polling_) {
     return;
   }
+  workers::RemoveSettledOrders(state_, IsResponsive(), clock::Now(), times_);
   polling_ = true;
   pollRequested_ = false;
   const clock::Moment now = std::chrono::steady_clock::now();
@@ -210,8 +210,7 @@
   // once, and only to a worker that has answered since it reported that end.
   const std::int64_t recorded = workers::RecordedUpTo(state_);
   const bool isKnown = !unresponsive_ && !mayHaveRestarted_;
-  order.acknowledgeUpTo_ =
-    isKnown && recorded > state_.lastAcknowledgedEnd_ ? recorded : 0;
+  order.acknowledgeUpTo_ = isKnown && recorded > state_.lastAcknowledgedEnd_ ? recorded : 0;
   const bool mayRenew = sinceLeaseLapse_() < kLeaseLapseGrace;
   if (state_.clock_ && workers::HasRuns(state_) && isKnown && mayRenew) {
     order.leaseEndMs_ =
@@ -413,7 +412,7 @@
     }
     state_.lastReportedEnd_ = end.number_;
     state_.unrecordedEnds_.insert(end.number_);
-    workers::RemoveRun(state_, end.task_, end.run_);
+    workers::RemoveEndedRun(state_, { end.task_, end.run_ }, end.kind_);
     Q_EMIT RunEnded(end.task_, end.run_, end.kind_, end.checkpoint_, end.number_);
   }
 }
@@ -467,7 +466,7 @@
   }
   RemoveMissingOrphans(aSeen, aPoll.sentAt_);
   for (const workers::RunKey& key : missing) {
-    workers::RemoveRun(state_, key.task_, key.number_);
+    workers::RemoveEndedRun(state_, key, jobs::EndKind::kStopped);
     Q_EMIT StartFailed(key.task_, key.number_, workers::OrderStatus::kNoAnswer);
   }
 }
--- a/src/workers/RunBounds.cpp
+++ b/src/workers/RunBounds.cpp
@@ -163,6 +163,29 @@
   return confirmed;
 }
 
+void
+RemoveEndedRun(WorkerState& aState, const RunKey& aKey, jobs::EndKind aKind)
+{
+  const Run* const run = FindRun(aState, aKey);
+  if (run != nullptr && aKind != jobs::EndKind::kDone && LastUnanswered(*run) != kNever) {
+    aState.openOrders_[aKey] = LastUnanswered(*run);
+  }
+  RemoveRun(aState, aKey.task_, aKey.number_);
+}
+
+void
+RemoveSettledOrders(WorkerState& aState,
+                    bool aIsResponsive,
+                    clock::Moment aNow,
+                    const LeaseTimes& aTimes)
+{
+  std::erase_if(aState.openOrders_, [&aState, aIsResponsive, aNow, &aTimes](const auto& aOrder) {
+    const clock::Moment end = aIsResponsive ? aOrder.second + aTimes.maxCallDelay_
+                                            : LatestEndInDoubt(aState, aOrder.second, aTimes);
+    return aNow > end;
+  });
+}
+
 clock::Milliseconds
 LeaseAtFirstAnswer(std::optional<clock::Milliseconds> aAge, const LeaseTimes& aTimes)
 {
