--- a/src/workers/RunBounds.cpp
+++ b/src/workers/RunBounds.cpp
@@ -12,6 +12,8 @@
 constexpr clock::Milliseconds kAgeMargin{ 5'000 };
 /** Margin between two clocks that are rounded to milliseconds. */
 constexpr double kClockMarginMs = 5;
+/** Longest time between an answer's clock reading and its arrival, in milliseconds. */
+constexpr double kMaxTransitMs = 2'000;
 
 double
 MillisecondsBetween(clock::Moment aThen, clock::Moment aNow)
@@ -95,7 +97,7 @@
   const double latest =
     static_cast<double>(aState.clock_->clockMs_) + sinceReading * (1 + kMaxClockDrift);
   const auto clock = static_cast<double>(aClockMs);
-  return clock >= EarliestClockAt(aState, aSentAt) && clock <= latest + kClockMarginMs;
+  return clock >= EarliestClockAt(aState, aSentAt) && clock <= latest + kMaxTransitMs;
 }
 
 clock::Moment
