--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -175,7 +175,7 @@
   /** Takes an answer by which the order was not carried out. */
   void OnStartRefused(const workers::RunKey& aKey, workers::OrderStatus aWhy);
   /** Sends a start order again that got no answer, if that is allowed now. */
-  void RepeatStart(workers::Run& aRun);
+  void RepeatStart(const workers::RunKey& aKey);
   /** Notes from an answer's clock whether another incarnation has answered. */
   void CheckIncarnation(clock::Moment aSentAt, std::int64_t aClockMs);
   void SendStop(const jobs::TaskId& aTask, std::int64_t aRun);
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -326,6 +326,7 @@
   staleFence_ = fence_;
   mayObeyStaleCalls_ = true;
   EndRuns(workers::TakeConfirmedRuns(state_, aPolledAt, times_), jobs::EndKind::kLapsed);
+  std::vector<workers::RunKey> toStop;
   for (const auto& [task, run] : state_.runs_) {
     log::Warn("worker",
               "event=order-in-doubt worker=",
@@ -337,9 +338,12 @@
               " run=",
               run.number_);
     if (run.state_ == workers::RunState::kStopping) {
-      SendStop(task, run.number_); // A stop binds only the incarnation that has confirmed it.
+      toStop.push_back({ task, run.number_ });
     }
   }
+  for (const workers::RunKey& key : toStop) {
+    SendStop(key.task_, key.number_); // A stop binds only the incarnation that has confirmed it.
+  }
   Q_EMIT Restarted();
 }
 
@@ -445,6 +449,7 @@
 Worker::CheckMissingRuns(const std::set<workers::RunKey>& aSeen, const SentPoll& aPoll)
 {
   std::vector<workers::RunKey> missing;
+  std::vector<workers::RunKey> toRepeat;
   for (auto& [task, run] : state_.runs_) {
     const clock::Moment never{};
     const bool isInFlight = run.inFlightSince_ != never;
@@ -461,7 +466,7 @@
       missing.push_back({ task, run.number_ });
     } else if (!isStopping) {
       run.state_ = workers::RunState::kUnconfirmed;
-      RepeatStart(run);
+      toRepeat.push_back({ task, run.number_ });
     }
   }
   RemoveMissingOrphans(aSeen, aPoll.sentAt_);
@@ -469,6 +474,10 @@
     workers::RemoveEndedRun(state_, key, jobs::EndKind::kStopped);
     Q_EMIT StartFailed(key.task_, key.number_, workers::OrderStatus::kNoAnswer);
   }
+  // A call may report that another one has failed, which removes that one's run.
+  for (const workers::RunKey& key : toRepeat) {
+    RepeatStart(key);
+  }
 }
 
 void
--- a/src/cells/WorkerOrders.cpp
+++ b/src/cells/WorkerOrders.cpp
@@ -16,8 +16,8 @@
 /** Time for which nothing is started on a worker that found an order invalid or is unhealthy, and
  * after which a refused order is repeated. */
 constexpr clock::Milliseconds kStartPause{ 700 };
-/** A worker that leaves an order unanswered this often is asked no more; each repetition adds to the
- * time for which the order may still arrive. */
+/** A worker that leaves an order unanswered this often is asked no more; each repetition adds to
+ * the time for which the order may still arrive. */
 constexpr int kMaxRepeats = 4;
 
 } // namespace
@@ -68,8 +68,8 @@
   run.inFlightSince_ = {};
   switch (aReply.status_) {
     case OrderStatus::kAccepted:
-      run.confirmed_ = run.confirmed_ || workers::IsOfPresentIncarnation(
-                                           state_, aSent.sentAt_, now, aReply.clockMs_);
+      run.confirmed_ = run.confirmed_ ||
+                       workers::IsOfPresentIncarnation(state_, aSent.sentAt_, now, aReply.clockMs_);
       if (run.state_ != workers::RunState::kStopping) {
         run.state_ = workers::RunState::kRunning;
       }
@@ -124,25 +124,29 @@
 }
 
 void
-Worker::RepeatStart(workers::Run& aRun)
+Worker::RepeatStart(const workers::RunKey& aKey)
 {
-  if (!aRun.order_ || aRun.repeats_ >= kMaxRepeats || clock::Now() < aRun.repeatAfter_ ||
-      !IsSchedulable()) {
+  const auto entry = state_.runs_.find(aKey.task_);
+  if (entry == state_.runs_.end() || entry->second.number_ != aKey.number_ || !IsSchedulable()) {
     return;
   }
-  ++aRun.repeats_;
+  workers::Run& run = entry->second;
+  if (!run.order_ || run.repeats_ >= kMaxRepeats || clock::Now() < run.repeatAfter_) {
+    return;
+  }
+  ++run.repeats_;
   log::Detail("worker",
               "event=start-repeated worker=",
               registration_.id_,
               " born=",
               state_.startedMs_,
               " task=",
-              jobs::ToString(aRun.order_->task_),
+              jobs::ToString(aKey.task_),
               " run=",
-              aRun.number_,
+              aKey.number_,
               " repeats=",
-              aRun.repeats_);
-  SendStart(aRun.order_);
+              run.repeats_);
+  SendStart(run.order_);
 }
 
 void
@@ -202,27 +206,28 @@
 void
 Worker::SendStop(const jobs::TaskId& aTask, std::int64_t aRun)
 {
-  const auto onReply = [this, aTask, aRun, fence = fence_, incarnation = incarnation_, sentAt = clock::Now()](
-                         const workers::OrderReply& aReply) {
-    workers::Run* const run = workers::FindRun(state_, { aTask, aRun });
-    if (run == nullptr) {
-      return;
-    }
-    CheckIncarnation(sentAt, aReply.clockMs_);
-    // An answer that arrives after a restart may be of the earlier incarnation.
-    const bool isCurrent = incarnation == incarnation_;
-    if (aReply.status_ == workers::OrderStatus::kFenced && fence == fence_) {
-      Q_EMIT Fenced();
-    } else if (isCurrent && aReply.status_ == workers::OrderStatus::kOtherIncarnation) {
-      EndIncarnation();
-      PollSoon();
-    } else if (isCurrent && aReply.status_ == workers::OrderStatus::kAccepted) {
-      run->stopConfirmedAt_ = clock::Now();
-      PollSoon();
-    } else {
-      RetryStop(aTask, aRun);
-    }
-  };
+  const auto onReply =
+    [this, aTask, aRun, fence = fence_, incarnation = incarnation_, sentAt = clock::Now()](
+      const workers::OrderReply& aReply) {
+      workers::Run* const run = workers::FindRun(state_, { aTask, aRun });
+      if (run == nullptr) {
+        return;
+      }
+      CheckIncarnation(sentAt, aReply.clockMs_);
+      // An answer that arrives after a restart may be of the earlier incarnation.
+      const bool isCurrent = incarnation == incarnation_;
+      if (aReply.status_ == workers::OrderStatus::kFenced && fence == fence_) {
+        Q_EMIT Fenced();
+      } else if (isCurrent && aReply.status_ == workers::OrderStatus::kOtherIncarnation) {
+        EndIncarnation();
+        PollSoon();
+      } else if (isCurrent && aReply.status_ == workers::OrderStatus::kAccepted) {
+        run->stopConfirmedAt_ = clock::Now();
+        PollSoon();
+      } else {
+        RetryStop(aTask, aRun);
+      }
+    };
   port_->Stop(aTask, aRun, fence_, onReply);
 }
 
