--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -5,6 +5,7 @@
 #include "include/quetzal/cells/SubmissionControl.h"
 #include "include/quetzal/cells/Worker.h"
 #include "include/quetzal/cells/WriteChains.h"
+#include "include/quetzal/clock/Now.h"
 #include "include/quetzal/fleet/Forecast.h"
 #include "include/quetzal/jobs/JobRegistry.h"
 #include "include/quetzal/metrics/Registry.h"
@@ -163,7 +164,8 @@
 
   /** Marks the unresponsive ones of these workers as terminated. The given workers are no host's
    * current incarnation, so one that is also unresponsive runs nothing any more. */
-  void MarkTerminated(const std::set<std::string>& aWorkers);
+  void MarkTerminated(const std::set<std::string>& aWorkers,
+                      clock::Moment aSeenGoneAt = clock::Now());
 
   /** Stops tasks that run until cancelled on a cordoned worker, so that they start elsewhere. A
    * task is not stopped while no other worker has room for it or too many tasks of its step are
@@ -267,6 +269,8 @@
   std::vector<placement::Candidate> Candidates(std::vector<WorkerEntry*>& aEntries) const;
   /** Returns the tasks that have an orphaned run, or whose open order may still begin one. */
   std::set<jobs::TaskId> BlockedTasks() const;
+  /** Returns whether a run's start order may be sent to its worker again. */
+  bool MayRepeatStart(const std::string& aWorker, const workers::RunKey& aRun);
 
   /** The quotas in force, by organisation. */
   using Quotas = std::map<std::string, workers::Capacity>;
--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -35,6 +35,12 @@
   /** Counts what organisations use on this worker in their use of the cell. @pre no runs yet. */
   void CountUseIn(organisations::QuotaUse& aUse) { state_.quotaUse_ = &aUse; }
 
+  /** Returns whether a run that was ordered may still be started. */
+  using MayRepeat = std::function<bool(const workers::RunKey&)>;
+  /** Sets who decides whether an order without an answer is repeated; nothing is repeated before.
+   */
+  void RepeatOrdersIf(MayRepeat aMayRepeat) { mayRepeat_ = std::move(aMayRepeat); }
+
   /** Sends the first poll. */
   void BeginPolling();
 
@@ -197,6 +203,7 @@
   void RemoveMissingOrphans(const std::set<workers::RunKey>& aSeen, clock::Moment aPolledAt);
   void EndRuns(const std::map<jobs::TaskId, workers::Run>& aRuns, jobs::EndKind aKind);
   void EndLapsedRuns(clock::Moment aNow);
+  bool MayHaveRestarted() const { return restartNoticedAt_ != clock::Moment{}; }
   void SchedulePoll(clock::Milliseconds aDelay);
   void OnTimer();
 
@@ -215,8 +222,10 @@
   bool cordoned_ = false;
   bool inRoster_ = false;
   bool unresponsive_ = false;
-  /** An answer's clock or the registration shows another incarnation than the last poll did. */
-  bool mayHaveRestarted_ = false;
+  /** When an answer's clock or the registration showed another incarnation than the last poll did,
+   * until a poll that was sent later is answered. */
+  clock::Moment restartNoticedAt_{};
+  MayRepeat mayRepeat_;
   int incarnation_ = 0;
   /** Highest fence of the calls that were meant for an earlier incarnation. */
   std::int64_t staleFence_ = 0;
--- a/include/quetzal/node/FleetManager.h
+++ b/include/quetzal/node/FleetManager.h
@@ -40,6 +40,9 @@
   std::set<std::string> terminated_; ///< Workers that are not the current incarnation of any host.
   std::vector<organisations::Grant> grants_;
   bool hasGrants_ = false; ///< False if the owner of the fleet does not divide quotas.
+  /** Greatest age, when the report arrived, of what terminated_ was taken from; an owner of an
+   * earlier release does not tell. */
+  clock::Milliseconds listAge_{ 2'000 };
 };
 
 /** Orders moves and maintenance of hosts while its process owns the fleet's cell. */
--- a/include/quetzal/node/NodeProcess.h
+++ b/include/quetzal/node/NodeProcess.h
@@ -98,7 +98,11 @@
                  const std::function<void(const std::string&)>& aReply);
   void SendReport(const std::string& aCell);
   /** @param aSequence of the report that the orders answer. */
-  void ApplyOrders(const std::string& aCell, std::int64_t aSequence, const CellOrders& aOrders);
+  /** @param aReportedAt when the report was sent that the orders answer. */
+  void ApplyOrders(const std::string& aCell,
+                   std::int64_t aSequence,
+                   clock::Moment aReportedAt,
+                   const CellOrders& aOrders);
   /** Returns the width of each cell that this host owns. */
   std::map<std::string, std::size_t> CellWidths() const;
   /** Returns this host's rank among the possible owners of a vacant cell. */
--- a/include/quetzal/workers/RunBounds.h
+++ b/include/quetzal/workers/RunBounds.h
@@ -22,10 +22,12 @@
                        clock::Moment aReceivedAt,
                        std::int64_t aClockMs);
 
-/** Returns when a run's start order was last sent without an answer so far; clock::Moment() if each
- * sending was answered. */
-clock::Moment
-LastUnanswered(const Run& aRun);
+/** Returns whether an answer proves that the order was carried out by that incarnation. */
+bool
+ProvesPresentIncarnation(const WorkerState& aState,
+                         clock::Moment aSentAt,
+                         clock::Moment aReceivedAt,
+                         std::int64_t aClockMs);
 
 /** Returns whether a start order without an answer may still be carried out at a moment. */
 bool
@@ -45,7 +47,7 @@
 TakeLapsedRuns(WorkerState& aState, clock::Moment aNow, const LeaseTimes& aTimes);
 
 /** Removes and returns the runs that have ended because the worker was seen to be gone. It may be
- * back under its id, so that orders without an answer stay.
+ * back under its id, so that orders without an answer stay, and all runs if it has answered since.
  * @param aSeenGoneAt the latest moment at which it was certainly gone. */
 std::map<jobs::TaskId, Run>
 TakeTerminatedRuns(WorkerState& aState, clock::Moment aSeenGoneAt, const LeaseTimes& aTimes);
@@ -63,13 +65,16 @@
 void
 RemoveEndedRun(WorkerState& aState, const RunKey& aKey, jobs::EndKind aKind);
 
-/** Removes the open orders that can no longer be carried out. A run that a later incarnation has
- * begun on one may be alive for longer on a worker that does not answer. */
+/** Forgets the orders without an answer that can no longer be carried out, and have not been: the
+ * worker does not list their runs, or lists them as its present incarnation's.
+ * @param aPolledAt when the poll was sent that showed these lists. */
+void
+SettleOrders(WorkerState& aState, clock::Moment aPolledAt, const LeaseTimes& aTimes);
+
+/** Removes the open orders of a worker that does not answer once no run that was begun on them can
+ * be alive. */
 void
-RemoveSettledOrders(WorkerState& aState,
-                    bool aIsResponsive,
-                    clock::Moment aNow,
-                    const LeaseTimes& aTimes);
+ExpireOrders(WorkerState& aState, clock::Moment aNow, const LeaseTimes& aTimes);
 
 /** Returns the longest lease that may be in force on a worker whose first answer an owner reads.
  * @param aAge of the worker's incarnation; nothing if it is not known. */
@@ -77,10 +82,9 @@
 LeaseAtFirstAnswer(std::optional<clock::Milliseconds> aAge, const LeaseTimes& aTimes);
 
 /** Returns for how long a predecessor's runs may be alive on a worker that has never answered this
- * owner, counted from the predecessor's last call.
- * @param aAge of the worker's incarnation when it was last heard of; nothing if that is not known.
- */
+ * owner, counted from the predecessor's last call. What is registered of the worker proves nothing:
+ * it may have restarted since. */
 clock::Milliseconds
-LongestLifeOfPredecessorsRuns(std::optional<clock::Milliseconds> aAge, const LeaseTimes& aTimes);
+LongestLifeOfPredecessorsRuns(const LeaseTimes& aTimes);
 
 } // namespace quetzal::workers
--- a/include/quetzal/workers/WorkerState.h
+++ b/include/quetzal/workers/WorkerState.h
@@ -35,7 +35,7 @@
   std::int64_t latencyTargetMs_ = 0;
   clock::Moment orderedAt_{};
   clock::Moment inFlightSince_{};   ///< When the start order was sent that is not answered yet.
-  clock::Moment unansweredAt_{};    ///< When the last start order was sent that timed out.
+  clock::Moment unansweredAt_{};    ///< When the last sending of the start order was given up.
   clock::Moment answeredAt_{};      ///< When the start order was answered or timed out.
   clock::Moment repeatAfter_{};     ///< The start order is not repeated earlier.
   int repeats_ = 0;                 ///< How often the start order was repeated.
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -194,6 +194,8 @@
   const std::string id = aRegistration.id_;
   workers_[id].worker_ = worker;
   worker->CountUseIn(quotaUse_);
+  worker->RepeatOrdersIf(
+    [this, id](const workers::RunKey& aKey) { return MayRepeatStart(id, aKey); });
   worker->SetCordoned(cordoned_.contains(id));
   connect(worker, &Worker::PollFinished, this, [this, id] {
     if (const auto entry = workers_.find(id); entry != workers_.end()) {
@@ -343,22 +345,14 @@
   // The predecessor's lease had lapsed before this owner's began. A worker that is cut off together
   // with the predecessor may lose its registration and still run tasks until its lease lapses.
   const clock::Moment lastCall = startedAt_ + kLeaseLapseGrace;
+  const auto life = workers::LongestLifeOfPredecessorsRuns(context_.times_);
+  if (Now() < lastCall + life + kExpiryMargin) {
+    return;
+  }
   for (auto& [id, entry] : workers_) {
-    if (!entry.inherited_ || entry.worker_->IsSynchronized()) {
-      continue;
-    }
-    const auto age = entry.worker_->Age();
-    const auto life = workers::LongestLifeOfPredecessorsRuns(age, context_.times_);
-    if (Now() >= lastCall + life + kExpiryMargin) {
-      log::Warn("cell",
-                "event=worker-given-up cell=",
-                service_,
-                " worker=",
-                id,
-                " age_ms=",
-                age.value_or(clock::Milliseconds(0)).count(),
-                " after_ms=",
-                life.count());
+    const bool hasAnswered = entry.worker_->State().clock_.has_value();
+    if (entry.inherited_ && !entry.worker_->IsSynchronized() && !hasAnswered) {
+      log::Warn("cell", "event=worker-given-up cell=", service_, " worker=", id);
       entry.worker_->GiveUp();
       entry.inherited_ = false;
     }
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -21,8 +21,6 @@
 /** Time until the roster is written without workers that have left. */
 constexpr clock::Milliseconds kRosterDelay{ 150 };
 constexpr clock::Milliseconds kArrivalHistory{ 4'000 };
-/** Greatest age of the platform's list of hosts that shows a worker as gone. */
-constexpr clock::Milliseconds kMaxListAge{ 2'000 };
 /** Bounds of the window for arrival rates, which is half of the longest job's critical path. */
 constexpr clock::Milliseconds kMinWindow{ 600 };
 constexpr clock::Milliseconds kMaxWindow{ 1'600 };
@@ -150,10 +148,9 @@
 }
 
 void
-Cell::MarkTerminated(const std::set<std::string>& aWorkers)
+Cell::MarkTerminated(const std::set<std::string>& aWorkers, clock::Moment aSeenGoneAt)
 {
   bool any = false;
-  const clock::Moment seenGoneAt = Now() - kMaxListAge;
   for (const std::string& id : aWorkers) {
     const auto entry = workers_.find(id);
     if (entry == workers_.end() || entry->second.worker_->IsResponsive()) {
@@ -161,14 +158,14 @@
     }
     Worker& worker = *entry->second.worker_;
     if (entry->second.terminated_) {
-      worker.EndTerminatedRuns(seenGoneAt);
+      worker.EndTerminatedRuns(aSeenGoneAt);
       continue;
     }
     const std::size_t runs = worker.State().runs_.size();
     entry->second.terminated_ = true;
     entry->second.rosterRequested_ = false;
     worker.SetInRoster(false);
-    worker.EndTerminatedRuns(seenGoneAt);
+    worker.EndTerminatedRuns(aSeenGoneAt);
     log::Info("cell",
               "event=worker-gone cell=",
               service_,
@@ -249,6 +246,7 @@
   writer_.Abandon();
   for (const auto& [id, entry] : workers_) {
     entry.worker_->disconnect(this);
+    entry.worker_->StopPolling();
   }
 }
 
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -474,6 +474,35 @@
   aEntry.worker_->Start(order, MakeCountedRun(aJob, spec, aRun, workers::RunState::kOrdered));
 }
 
+bool
+Cell::MayRepeatStart(const std::string& aWorker, const workers::RunKey& aRun)
+{
+  jobs::Job* const job = jobs_.Find(aRun.task_.job_);
+  const jobs::TaskState* const task = job == nullptr ? nullptr : jobs::FindTask(*job, aRun.task_);
+  const auto entry = workers_.find(aWorker);
+  if (task == nullptr || job->ending_ || entry == workers_.end()) {
+    return false;
+  }
+  const auto step = static_cast<std::size_t>(aRun.task_.step_);
+  const jobs::StepSpec& spec = job->spec_.steps_.at(step);
+  // The next incarnation of a worker may be of another kind.
+  const std::vector<std::string>& labels = entry->second.worker_->Registration().labels_;
+  if (!spec.requiredLabel_.empty() &&
+      std::find(labels.begin(), labels.end(), spec.requiredLabel_) == labels.end()) {
+    return false;
+  }
+  const auto isPlaced = [&aRun](const jobs::TaskState& aTask) {
+    return aTask.phase_ == jobs::TaskPhase::kPlaced &&
+           (aTask.run_ == aRun.number_ || aTask.copyRun_ == aRun.number_);
+  };
+  if (!spec.gang_) {
+    return isPlaced(*task);
+  }
+  // A member alone would wait for the others until it is given up.
+  const auto& tasks = job->liveOccurrences_.at(aRun.task_.occurrence_).steps_.at(step).tasks_;
+  return std::all_of(tasks.begin(), tasks.end(), isPlaced);
+}
+
 bool
 Cell::NeedsTicket(const jobs::Job& aJob) const
 {
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -58,7 +58,7 @@
   registered_ = true;
   registration_ = aRegistration;
   if (state_.startedMs_ != 0 && aRegistration.startedMs_ > state_.startedMs_) {
-    mayHaveRestarted_ = true;
+    restartNoticedAt_ = clock::Now();
     PollSoon();
   }
 }
@@ -73,7 +73,8 @@
   for (auto& [task, run] : state_.runs_) {
     run.speedPercent_ = workers::kUnknownSpeed;
     if (run.inFlightSince_ != clock::Moment{}) {
-      run.unansweredAt_ = std::exchange(run.inFlightSince_, {});
+      run.inFlightSince_ = {};
+      run.unansweredAt_ = now;
       run.answeredAt_ = now;
       Q_EMIT StartAnswered(run.number_);
     }
@@ -105,7 +106,7 @@
 Worker::IsSchedulable() const
 {
   return synchronized_ && state_.clock_ && registered_ && inRoster_ && !cordoned_ &&
-         !unresponsive_ && !mayHaveRestarted_ && !mayObeyStaleCalls_ && !registration_.draining_ &&
+         !unresponsive_ && !MayHaveRestarted() && !mayObeyStaleCalls_ && !registration_.draining_ &&
          std::chrono::steady_clock::now() >= startsPausedUntil_;
 }
 
@@ -200,7 +201,7 @@
   if (polling_) {
     return;
   }
-  workers::RemoveSettledOrders(state_, IsResponsive(), clock::Now(), times_);
+  workers::ExpireOrders(state_, clock::Now(), times_);
   polling_ = true;
   pollRequested_ = false;
   const clock::Moment now = std::chrono::steady_clock::now();
@@ -209,7 +210,7 @@
   // Ends of a new incarnation are numbered from 1 again. A number is therefore acknowledged only
   // once, and only to a worker that has answered since it reported that end.
   const std::int64_t recorded = workers::RecordedUpTo(state_);
-  const bool isKnown = !unresponsive_ && !mayHaveRestarted_;
+  const bool isKnown = !unresponsive_ && !MayHaveRestarted();
   order.acknowledgeUpTo_ = isKnown && recorded > state_.lastAcknowledgedEnd_ ? recorded : 0;
   const bool mayRenew = sinceLeaseLapse_() < kLeaseLapseGrace;
   if (state_.clock_ && workers::HasRuns(state_) && isKnown && mayRenew) {
@@ -256,7 +257,9 @@
     log::Info("worker", "event=worker-back worker=", registration_.id_);
   }
   unresponsive_ = false;
-  mayHaveRestarted_ = false;
+  if (aPoll.sentAt_ > restartNoticedAt_) {
+    restartNoticedAt_ = {};
+  }
   const std::int64_t startedBefore = state_.startedMs_;
   if (aStatus.startedMs_ != 0 && aStatus.startedMs_ != state_.startedMs_) {
     BeginIncarnation(aStatus.startedMs_, aPoll.sentAt_);
@@ -271,6 +274,7 @@
   const std::set<workers::RunKey> running = ReadRunning(aStatus.running_);
   if (!aStatus.mayHaveMoreEnds_) {
     CheckMissingRuns(running, aPoll);
+    workers::SettleOrders(state_, aPoll.sentAt_, times_);
   }
   const bool idle = !workers::HasRuns(state_) && aStatus.ended_.empty();
   if (!state_.unrecordedEnds_.empty()) {
@@ -293,6 +297,9 @@
               " runs=",
               state_.runs_.size());
   }
+  if (!unresponsive_) {
+    state_.leaseSentAt_ = clock::Now(); // The failed poll may still grant its lease.
+  }
   unresponsive_ = true;
   SchedulePoll(kUnresponsiveInterval);
   Q_EMIT PollFinished();
@@ -352,6 +359,7 @@
 {
   ForgetIncarnation(0);
   // What answers at the address has another id, and rejects all orders for this one.
+  state_.openOrders_.clear();
   EndRuns(workers::TakeRuns(state_), jobs::EndKind::kLapsed);
 }
 
--- a/src/cells/WorkerOrders.cpp
+++ b/src/cells/WorkerOrders.cpp
@@ -18,14 +18,16 @@
 constexpr clock::Milliseconds kStartPause{ 700 };
 /** A worker that leaves an order unanswered this often is asked no more; each repetition adds to
  * the time for which the order may still arrive. */
-constexpr int kMaxRepeats = 4;
+constexpr int kMaxRepeats = 8;
 
 } // namespace
 
 void
 Worker::Start(const workers::StartOrder& aOrder, const workers::Run& aRun)
 {
-  workers::AddRun(state_, aOrder.task_, aRun);
+  workers::Run ordered = aRun;
+  ordered.fence_ = fence_;
+  workers::AddRun(state_, aOrder.task_, ordered);
   SendStart(std::make_shared<const workers::StartOrder>(aOrder));
   if (state_.runs_.size() == 1) {
     PollSoon();
@@ -44,6 +46,7 @@
   state_.leaseSentAt_ = now;
   workers::Run& run = state_.runs_.at(order.task_);
   run.fence_ = fence_;
+  run.order_ = aOrder;
   run.inFlightSince_ = now;
   const SentStart sent{ aOrder, fence_, incarnation_, now };
   port_->Start(order, [this, sent](const auto& aReply) {
@@ -68,15 +71,17 @@
   run.inFlightSince_ = {};
   switch (aReply.status_) {
     case OrderStatus::kAccepted:
-      run.confirmed_ = run.confirmed_ ||
-                       workers::IsOfPresentIncarnation(state_, aSent.sentAt_, now, aReply.clockMs_);
+      run.confirmed_ = run.confirmed_ || workers::ProvesPresentIncarnation(
+                                           state_, aSent.sentAt_, now, aReply.clockMs_);
       if (run.state_ != workers::RunState::kStopping) {
         run.state_ = workers::RunState::kRunning;
       }
+      if (run.unansweredAt_ == clock::Moment{}) {
+        run.order_.reset();
+      }
       return;
     case OrderStatus::kNoAnswer:
-      run.unansweredAt_ = aSent.sentAt_;
-      run.order_ = aSent.order_;
+      run.unansweredAt_ = now;
       if (run.state_ == workers::RunState::kOrdered) {
         run.state_ = workers::RunState::kUnconfirmed;
       }
@@ -127,10 +132,15 @@
 Worker::RepeatStart(const workers::RunKey& aKey)
 {
   const auto entry = state_.runs_.find(aKey.task_);
-  if (entry == state_.runs_.end() || entry->second.number_ != aKey.number_ || !IsSchedulable()) {
+  if (entry == state_.runs_.end() || entry->second.number_ != aKey.number_ || !IsSchedulable() ||
+      sinceLeaseLapse_() >= kLeaseLapseGrace) {
     return;
   }
   workers::Run& run = entry->second;
+  if (!mayRepeat_ || !mayRepeat_(aKey)) {
+    Stop(aKey.task_); // The cell no longer wants the run.
+    return;
+  }
   if (!run.order_ || run.repeats_ >= kMaxRepeats || clock::Now() < run.repeatAfter_) {
     return;
   }
@@ -152,7 +162,7 @@
 void
 Worker::CheckIncarnation(clock::Moment aSentAt, std::int64_t aClockMs)
 {
-  if (aClockMs != 0 && state_.clock_ && !mayHaveRestarted_ &&
+  if (aClockMs != 0 && state_.clock_ && !MayHaveRestarted() &&
       !workers::IsOfPresentIncarnation(state_, aSentAt, clock::Now(), aClockMs)) {
     log::Info("worker",
               "event=worker-restart-noticed worker=",
@@ -161,7 +171,7 @@
               state_.startedMs_,
               " clock_ms=",
               aClockMs);
-    mayHaveRestarted_ = true;
+    restartNoticedAt_ = clock::Now();
     PollSoon();
   }
 }
--- a/src/node/FleetManager.cpp
+++ b/src/node/FleetManager.cpp
@@ -156,6 +156,8 @@
     serviceReport.forecasts_.pop_front();
   }
   CellOrders orders;
+  orders.listAge_ =
+    std::chrono::duration_cast<clock::Milliseconds>(now - listRequestedAt_) + kMaxListLag;
   std::map<std::string, clock::Moment> firstReported;
   for (const cells::WorkerReport& worker : aReport.workers_) {
     const auto known = serviceReport.firstReported_.find(worker.id_);
--- a/src/node/Messages.cpp
+++ b/src/node/Messages.cpp
@@ -238,8 +238,8 @@
 ReportReply
 ToReply(const CellOrders& aOrders)
 {
-  ReportReply reply{ true, aOrders.cordoned_, aOrders.evict_, aOrders.terminated_,
-                     {},   aOrders.hasGrants_ };
+  ReportReply reply{ true, aOrders.cordoned_,  aOrders.evict_,          aOrders.terminated_,
+                     {},   aOrders.hasGrants_, aOrders.listAge_.count() };
   for (const organisations::Grant& grant : aOrders.grants_) {
     reply.grants_.push_back({ grant.organisation_, ToEntry(grant.limit_) });
   }
@@ -249,7 +249,14 @@
 std::optional<CellOrders>
 FromReply(const ReportReply& aReply)
 {
-  CellOrders orders{ aReply.cordoned_, aReply.evict_, aReply.terminated_, {}, aReply.hasGrants_ };
+  CellOrders orders;
+  orders.cordoned_ = aReply.cordoned_;
+  orders.evict_ = aReply.evict_;
+  orders.terminated_ = aReply.terminated_;
+  orders.hasGrants_ = aReply.hasGrants_;
+  if (aReply.listAgeMs_) {
+    orders.listAge_ = clock::Milliseconds(*aReply.listAgeMs_);
+  }
   for (const GrantEntry& grant : aReply.grants_) {
     if (!IsUsable(grant.limit_)) {
       return std::nullopt;
--- a/src/node/Messages.h
+++ b/src/node/Messages.h
@@ -129,8 +129,9 @@
   // Earlier versions send none of the following.
   std::vector<GrantEntry> grants_;
   bool hasGrants_ = false;
+  std::optional<std::int64_t> listAgeMs_;
 
-  MSGPACK_DEFINE_ARRAY(owned_, cordoned_, evict_, terminated_, grants_, hasGrants_)
+  MSGPACK_DEFINE_ARRAY(owned_, cordoned_, evict_, terminated_, grants_, hasGrants_, listAgeMs_)
 };
 
 JobCall
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -161,7 +161,7 @@
   }
   const cells::CellReport report = owned.cell_->Report();
   if (fleet_ != nullptr) {
-    ApplyOrders(aCell, report.sequence_, fleet_->OnReport(report));
+    ApplyOrders(aCell, report.sequence_, Now(), fleet_->OnReport(report));
     return;
   }
   const auto owner = membership_.OwnerOf(kFleetCell);
@@ -170,35 +170,37 @@
   }
   owned.reporting_ = true;
   const settings::Endpoint peer{ owner->address_, static_cast<std::uint16_t>(owner->port_) };
-  links_.Call(peer,
-              PeerMethod::kReport,
-              jobs::Encode(ToCall(report)),
-              kReportTimeout,
-              [this, aCell, sequence = report.sequence_](const CallResult& aResult) {
-                const auto ownedCell = cells_.find(aCell);
-                if (ownedCell == cells_.end()) {
-                  return;
-                }
-                ownedCell->second.reporting_ = false;
-                ReportReply reply;
-                const bool isAnswered = aResult.failure_ == CallFailure::kNone &&
-                                        jobs::Decode(aResult.body_, reply) && reply.owned_;
-                if (const auto orders = isAnswered ? FromReply(reply) : std::nullopt) {
-                  ApplyOrders(aCell, sequence, *orders);
-                } else if (isAnswered) {
-                  log::Warn("node", "event=orders-ignored cell=", aCell);
-                }
-              });
+  links_.Call(
+    peer,
+    PeerMethod::kReport,
+    jobs::Encode(ToCall(report)),
+    kReportTimeout,
+    [this, aCell, sequence = report.sequence_, sentAt = Now()](const CallResult& aResult) {
+      const auto ownedCell = cells_.find(aCell);
+      if (ownedCell == cells_.end()) {
+        return;
+      }
+      ownedCell->second.reporting_ = false;
+      ReportReply reply;
+      const bool isAnswered = aResult.failure_ == CallFailure::kNone &&
+                              jobs::Decode(aResult.body_, reply) && reply.owned_;
+      if (const auto orders = isAnswered ? FromReply(reply) : std::nullopt) {
+        ApplyOrders(aCell, sequence, sentAt, *orders);
+      } else if (isAnswered) {
+        log::Warn("node", "event=orders-ignored cell=", aCell);
+      }
+    });
 }
 
 void
 NodeProcess::ApplyOrders(const std::string& aCell,
                          std::int64_t aSequence,
+                         clock::Moment aReportedAt,
                          const CellOrders& aOrders)
 {
   cells::Cell& cell = *cells_.at(aCell).cell_;
   cell.TakeGrants(aSequence, aOrders.hasGrants_, aOrders.grants_);
-  cell.MarkTerminated(aOrders.terminated_);
+  cell.MarkTerminated(aOrders.terminated_, aReportedAt - aOrders.listAge_);
   cell.CordonWorkers(aOrders.cordoned_);
   for (const std::string& worker : aOrders.evict_) {
     cell.EvictTasks(worker);
--- a/src/workers/RunBounds.cpp
+++ b/src/workers/RunBounds.cpp
@@ -10,6 +10,8 @@
 /** Margin of a worker's age: the difference between two hosts' times of day, and the time until an
  * owner notices that the incarnation before has ended. */
 constexpr clock::Milliseconds kAgeMargin{ 5'000 };
+/** Margin of a lease's end, since clock readings are rounded to milliseconds. */
+constexpr clock::Milliseconds kLeaseMargin{ 100 };
 /** Margin between two clocks that are rounded to milliseconds. */
 constexpr double kClockMarginMs = 5;
 /** Longest time between an answer's clock reading and its arrival, in milliseconds. */
@@ -36,7 +38,7 @@
 LatestEndInDoubt(const WorkerState& aState, clock::Moment aSentAt, const LeaseTimes& aTimes)
 {
   return std::max(aSentAt, aState.leaseSentAt_) + aTimes.maxCallDelay_ +
-         LongestTime(aTimes.longest_);
+         LongestTime(aTimes.longest_) + kLeaseMargin;
 }
 
 /** Returns whether an incarnation is too young for all calls that were meant for the one before it
@@ -80,7 +82,7 @@
 clock::Milliseconds
 LongestTime(clock::Milliseconds aLease)
 {
-  return std::chrono::duration_cast<clock::Milliseconds>(aLease * (1 + kMaxClockDrift));
+  return std::chrono::duration_cast<clock::Milliseconds>(aLease / (1 - kMaxClockDrift));
 }
 
 bool
@@ -100,28 +102,37 @@
   return clock >= EarliestClockAt(aState, aSentAt) && clock <= latest + kMaxTransitMs;
 }
 
-clock::Moment
-LastUnanswered(const Run& aRun)
+bool
+ProvesPresentIncarnation(const WorkerState& aState,
+                         clock::Moment aSentAt,
+                         clock::Moment aReceivedAt,
+                         std::int64_t aClockMs)
 {
-  return std::max(aRun.unansweredAt_, aRun.inFlightSince_);
+  // The clocks of two incarnations that began within the margin read alike.
+  const double sinceReading =
+    MillisecondsBetween(aState.clock_ ? aState.clock_->readAt_ : aSentAt, aReceivedAt);
+  return IsOfPresentIncarnation(aState, aSentAt, aReceivedAt, aClockMs) &&
+         static_cast<double>(aClockMs) > sinceReading + kMaxTransitMs;
 }
 
 bool
 MayStillBegin(const Run& aRun, clock::Moment aAt, const LeaseTimes& aTimes)
 {
-  const clock::Moment sentAt = LastUnanswered(aRun);
-  return sentAt != kNever && aAt <= sentAt + aTimes.maxCallDelay_;
+  const bool isInFlight = aRun.inFlightSince_ != kNever;
+  const bool isUnanswered = aRun.unansweredAt_ != kNever;
+  return isInFlight || (isUnanswered && aAt <= aRun.unansweredAt_ + aTimes.maxCallDelay_);
 }
 
 bool
 MayBeAlive(const WorkerState& aState, const Run& aRun, clock::Moment aNow, const LeaseTimes& aTimes)
 {
-  if (aRun.confirmed_ && !HasLeaseLapsed(aState, aNow)) {
+  const bool isInFlight = aRun.inFlightSince_ != kNever;
+  if (isInFlight || (aRun.confirmed_ && !HasLeaseLapsed(aState, aNow))) {
     return true;
   }
-  const clock::Moment sentAt =
-    aRun.confirmed_ ? LastUnanswered(aRun) : std::max(LastUnanswered(aRun), aRun.answeredAt_);
-  return sentAt != kNever && aNow <= LatestEndInDoubt(aState, sentAt, aTimes);
+  const clock::Moment calledAt =
+    aRun.confirmed_ ? aRun.unansweredAt_ : std::max(aRun.unansweredAt_, aRun.answeredAt_);
+  return calledAt != kNever && aNow <= LatestEndInDoubt(aState, calledAt, aTimes);
 }
 
 std::map<jobs::TaskId, Run>
@@ -138,11 +149,16 @@
 std::map<jobs::TaskId, Run>
 TakeTerminatedRuns(WorkerState& aState, clock::Moment aSeenGoneAt, const LeaseTimes& aTimes)
 {
+  if (aState.clock_ && aState.clock_->readAt_ > aSeenGoneAt) {
+    return {}; // The present incarnation has answered since, so that it is not the one that was
+               // gone.
+  }
   RemoveOrphans(aState);
+  std::erase_if(aState.openOrders_, [aSeenGoneAt, &aTimes](const auto& aOrder) {
+    return aSeenGoneAt > aOrder.second + aTimes.maxCallDelay_;
+  });
   return TakeRunsIf(aState, [aSeenGoneAt, &aTimes](const Run& aRun) {
-    // An order that was answered by an unknown incarnation may be of one that began later.
-    const bool mayBeLater = !aRun.confirmed_ && aRun.answeredAt_ > aSeenGoneAt;
-    return !mayBeLater && !MayStillBegin(aRun, aSeenGoneAt, aTimes);
+    return aRun.answeredAt_ <= aSeenGoneAt && !MayStillBegin(aRun, aSeenGoneAt, aTimes);
   });
 }
 
@@ -169,22 +185,34 @@
 RemoveEndedRun(WorkerState& aState, const RunKey& aKey, jobs::EndKind aKind)
 {
   const Run* const run = FindRun(aState, aKey);
-  if (run != nullptr && aKind != jobs::EndKind::kDone && LastUnanswered(*run) != kNever) {
-    aState.openOrders_[aKey] = LastUnanswered(*run);
+  if (run != nullptr && aKind != jobs::EndKind::kDone) {
+    const clock::Moment unansweredAt = std::max(run->unansweredAt_, run->inFlightSince_);
+    if (unansweredAt != kNever) {
+      aState.openOrders_[aKey] = unansweredAt;
+    }
   }
   RemoveRun(aState, aKey.task_, aKey.number_);
 }
 
 void
-RemoveSettledOrders(WorkerState& aState,
-                    bool aIsResponsive,
-                    clock::Moment aNow,
-                    const LeaseTimes& aTimes)
-{
-  std::erase_if(aState.openOrders_, [&aState, aIsResponsive, aNow, &aTimes](const auto& aOrder) {
-    const clock::Moment end = aIsResponsive ? aOrder.second + aTimes.maxCallDelay_
-                                            : LatestEndInDoubt(aState, aOrder.second, aTimes);
-    return aNow > end;
+SettleOrders(WorkerState& aState, clock::Moment aPolledAt, const LeaseTimes& aTimes)
+{
+  const clock::Moment latest = aPolledAt - aTimes.maxCallDelay_;
+  std::erase_if(aState.openOrders_,
+                [latest](const auto& aOrder) { return aOrder.second < latest; });
+  for (auto& [task, run] : aState.runs_) {
+    if (run.confirmed_ && run.unansweredAt_ < latest && run.inFlightSince_ == kNever) {
+      run.unansweredAt_ = kNever;
+      run.order_.reset();
+    }
+  }
+}
+
+void
+ExpireOrders(WorkerState& aState, clock::Moment aNow, const LeaseTimes& aTimes)
+{
+  std::erase_if(aState.openOrders_, [&aState, aNow, &aTimes](const auto& aOrder) {
+    return aNow > LatestEndInDoubt(aState, aOrder.second, aTimes);
   });
 }
 
@@ -195,10 +223,9 @@
 }
 
 clock::Milliseconds
-LongestLifeOfPredecessorsRuns(std::optional<clock::Milliseconds> aAge, const LeaseTimes& aTimes)
+LongestLifeOfPredecessorsRuns(const LeaseTimes& aTimes)
 {
-  return MayHaveStaleLease(aAge, aTimes) ? aTimes.maxCallDelay_ + LongestTime(aTimes.longest_)
-                                         : LongestTime(aTimes.lease_);
+  return aTimes.maxCallDelay_ + LongestTime(aTimes.longest_);
 }
 
 } // namespace quetzal::workers
