--- a/tests/unit/FakeWorkers.cpp
+++ b/tests/unit/FakeWorkers.cpp
@@ -1,5 +1,7 @@
 #include "tests/unit/FakeWorkers.h"
 
+#include "include/quetzal/clock/Now.h"
+
 #include <QtCore/QPointer>
 #include <QtCore/QTimer>
 
@@ -170,7 +172,7 @@
                        Qt::PreciseTimer,
                        &worker_.context_,
                        [worker = &worker_, carryOut = std::move(aCarryOut)] {
-                         if (worker->IsReachable()) {
+                         if (!worker->IsRestarting()) {
                            carryOut();
                          }
                        });
@@ -191,10 +193,16 @@
          1;
 }
 
+bool
+FakeWorker::IsRestarting() const
+{
+  return std::chrono::steady_clock::now() < downUntil_;
+}
+
 bool
 FakeWorker::IsReachable() const
 {
-  return reachable_ && std::chrono::steady_clock::now() >= downUntil_;
+  return reachable_ && !IsRestarting();
 }
 
 workers::OrderReply
@@ -329,6 +337,9 @@
     highestEndedRuns_[aTask] = std::max(highestEndedRuns_[aTask], aRun);
     ended_.push_back({ nextEnd_++, aTask, aRun, aKind, aCheckpoint });
     running_.erase(entry);
+    if (onEnded_) {
+      onEnded_(ended_.back());
+    }
   }
 }
 
@@ -337,14 +348,16 @@
 {
   std::erase_if(late_, [this](const LateCall& aCall) { return aCall.restarts_ < restarts_; });
   ++restarts_;
-  ++startedMs_;
-  clockStartedAt_ = std::chrono::steady_clock::now();
-  downUntil_ = clockStartedAt_ + restartTime_;
+  startedMs_ = std::max(startedMs_ + 1, clock::UnixMs());
+  const auto now = std::chrono::steady_clock::now();
+  clockStartedAt_ = now - nextClock_;
+  downUntil_ = now + restartTime_;
   fence_ = 0;
   leaseEndMs_ = 0;
   running_.clear();
   ended_.clear();
   nextEnd_ = 1;
+  lapsedEnds_ = 0;
   listed_ = 0;
   answeredPolls_ = 0;
   highestEndedRuns_.clear();
@@ -361,7 +374,11 @@
 void
 FakeWorker::Expire()
 {
-  while (leaseEndMs_ < ClockMs() && !running_.empty()) {
+  if (leaseEndMs_ >= ClockMs()) {
+    return;
+  }
+  lapsedEnds_ = nextEnd_ - 1;
+  while (!running_.empty()) {
     End(jobs::TaskId(running_.begin()->first), jobs::EndKind::kLapsed);
   }
 }
@@ -369,7 +386,7 @@
 void
 FakeWorker::RunLate()
 {
-  if (std::chrono::steady_clock::now() < downUntil_) {
+  if (IsRestarting()) {
     return;
   }
   std::vector<LateCall> late;
--- a/tests/unit/FakeWorkers.h
+++ b/tests/unit/FakeWorkers.h
@@ -76,13 +76,16 @@
   /** Starts a new incarnation under another id at the same address. It rejects each call that names
    * the id of before. */
   void RebootAs(const std::string& aId);
+  bool IsRestarting() const;
   bool IsReachable() const;
-  /** Carries out the late calls, unless the worker is restarting. */
+  /** Carries out the late calls, unless the worker is restarting. They may have reached a worker
+   * that has been cut off since. */
   void RunLate();
-  /** Ends every run if the lease has lapsed. */
+  /** Ends every run if the lease has lapsed, and notes which ends came before that. */
   void Expire();
 
-  /** Milliseconds since the incarnation started, plus 1, so that the clock is never 0. */
+  /** The clock with which the incarnation began, and the time since, plus 1 ms, so that it is never
+   * 0. */
   std::int64_t ClockMs() const;
 
   /** Returns whether a run of the task with this number is running. */
@@ -100,6 +103,7 @@
   std::int64_t startedMs_ = 1;
   std::chrono::steady_clock::time_point clockStartedAt_ =
     std::chrono::steady_clock::now() - std::chrono::hours(1);
+  std::chrono::milliseconds nextClock_{ 0 }; ///< The clock with which each restart begins.
   std::chrono::steady_clock::time_point downUntil_{};
   std::chrono::milliseconds restartTime_{ 150 }; ///< 0: reachable at once.
   int restarts_ = 0;
@@ -110,7 +114,8 @@
   int concurrentStarts_ = 0; ///< Runs that began while another run of their task was running here.
   std::vector<workers::EndedTask> ended_;
   std::int64_t nextEnd_ = 1;
-  std::int64_t listed_ = 0; ///< The number of the last end that an answer to a poll has listed.
+  std::int64_t lapsedEnds_ = 0; ///< Ends up to this number came before a lapse of the lease.
+  std::int64_t listed_ = 0;     ///< The number of the last end that an answer to a poll has listed.
   std::size_t maxListedEnds_ = 500; ///< The most ends that an answer to a poll lists.
   std::map<jobs::TaskId, std::int64_t> highestEndedRuns_;
   std::vector<std::pair<jobs::TaskId, std::int64_t>> starts_; ///< Every run that has started.
@@ -124,8 +129,9 @@
   std::function<Transit(CallKind)> transit_;
   /** The time after which a late call is carried out; if not set, RunLate() does so. */
   std::function<std::chrono::milliseconds()> lateness_;
-  /** Called when a run has started, and when an end is acknowledged. */
+  /** Called when a run has started, when one has ended, and when an end is acknowledged. */
   std::function<void(const jobs::TaskId&)> onStart_;
+  std::function<void(const workers::EndedTask&)> onEnded_;
   std::function<void(const workers::EndedTask&)> onAcknowledged_;
   bool wantsTicket_ = false;
   std::map<jobs::TaskId, int> speeds_;                ///< Last speed ordered, in per cent.
--- a/tests/unit/WorkerStateTest.cpp
+++ b/tests/unit/WorkerStateTest.cpp
@@ -70,33 +70,6 @@
   BOOST_TEST((state.used_ == Capacity{}));
 }
 
-BOOST_AUTO_TEST_CASE(ConfirmedRuns_Taken_RunsWithoutAnAnswerStayAndUseTheirCapacity)
-{
-  WorkerState state;
-  Run confirmed = MakeRun(1, 700);
-  confirmed.confirmed_ = true;
-  AddRun(state, task_, confirmed);
-  const jobs::TaskId other{ "j", 0, 0, 1 };
-  AddRun(state, other, MakeRun(2, 200));
-  BOOST_TEST(TakeConfirmedRuns(state, now_, times_).contains(task_));
-  BOOST_TEST(state.runs_.size() == 1U);
-  BOOST_TEST(state.runs_.contains(other));
-  BOOST_TEST(state.used_.cpu_ == 200);
-}
-
-BOOST_AUTO_TEST_CASE(ConfirmedRuns_AnsweredAfterThePoll_StayUnconfirmed)
-{
-  WorkerState state;
-  Run confirmed = MakeRun(1, 700);
-  confirmed.confirmed_ = true;
-  confirmed.answeredAt_ = now_ + 1ms;
-  confirmed.stopConfirmedAt_ = now_ + 2ms;
-  AddRun(state, task_, confirmed);
-  BOOST_TEST(TakeConfirmedRuns(state, now_, times_).empty());
-  BOOST_TEST(!state.runs_.at(task_).confirmed_);
-  BOOST_TEST(!IsStopConfirmed(state.runs_.at(task_), now_ + 1h));
-}
-
 BOOST_AUTO_TEST_CASE(Run_WorkerHasSeenAFence_IsRejectedOnlyIfOrderedUnderALowerOneAndUnconfirmed)
 {
   Run run = MakeRun(1, 700);
