Logs and counters say on which incarnation runs were judged

An operator could not tell which life of a worker a lapse, a restart or a start belonged to, how old its last answer was, nor how many orders were unsettled; worker-back and worker-reborn were dropped under load, so that a missing line proved nothing.

- One form for all events about the runs of a worker: born, heard_ms_ago, runs, in_doubt; ended where runs are taken for ended. born is the incarnation that the owner judged on; worker-reborn and order-in-doubt name the one seen in its place as next_born (until now worker-reborn showed only that, as born).
- With runs on the worker these are warnings, which are never dropped.
- worker-restart-noticed says by what (clock, registration), and is written for a registration once, not at each reading of the list.
- worker-gone is written before the runs end, runs-terminated for each time that some do: orders in doubt used to end without a line.
- While another id answers at the address, worker-reborn came with each poll; now once.
- task-start says the incarnation that was known.
- Counters: quetzal_worker_restarts_noticed_total by poll, clock and registration, quetzal_starts_repeated_total, quetzal_runs_ended_in_doubt_total.

--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/quetzal/jobs/Records.h"
+#include "include/quetzal/metrics/Registry.h"
 #include "include/quetzal/workers/LeaseTimes.h"
 #include "include/quetzal/workers/WorkerState.h"
 
@@ -35,6 +36,9 @@
   /** Counts what organisations use on this worker in their use of the cell. @pre no runs yet. */
   void CountUseIn(organisations::QuotaUse& aUse) { state_.quotaUse_ = &aUse; }
 
+  /** Counts restarts, repeated starts and runs that ended in doubt. */
+  void CountEventsIn(metrics::Registry& aMetrics) { metrics_ = &aMetrics; }
+
   /** Sends the first poll. */
   void BeginPolling();
 
@@ -199,6 +203,15 @@
   void EndLapsedRuns(clock::Moment aNow);
   void SchedulePoll(clock::Milliseconds aDelay);
   void OnTimer();
+  /** Logs an event that concerns all runs on the worker, with what is known of both. */
+  void LogChange(const char* aEvent, const std::string& aDetails = {}) const;
+  /** Logs and counts that the worker may have restarted, once before the poll that shows it.
+   * @param aBy what shows it. @param aReading the reading that the known incarnation cannot have.
+   */
+  void NoteRestartSign(const char* aBy, std::int64_t aReading);
+  void CountRestartSign(const char* aBy);
+  /** Adds to a counter of this worker's service. */
+  void Count(const char* aName, std::size_t aAmount = 1, metrics::Labels aLabels = {});
 
   workers::Registration registration_;
   std::unique_ptr<workers::WorkerPort> port_;
@@ -223,6 +236,8 @@
   /** The present incarnation has not answered under a higher fence than staleFence_ yet. */
   bool mayObeyStaleCalls_ = false;
   clock::Moment startsPausedUntil_{};
+  std::int64_t notedRestartSign_ = 0;    ///< Last reading that was logged as the sign of a restart.
+  metrics::Registry* metrics_ = nullptr; ///< Null: nothing is counted.
 };
 
 } // namespace quetzal::cells
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
+#include "include/quetzal/workers/Evidence.h"
 #include "include/quetzal/workers/RunBounds.h"
 
 #include <QtCore/QPointer>
@@ -194,6 +195,7 @@
   const std::string id = aRegistration.id_;
   workers_[id].worker_ = worker;
   worker->CountUseIn(quotaUse_);
+  worker->CountEventsIn(*context_.metrics_);
   worker->SetCordoned(cordoned_.contains(id));
   connect(worker, &Worker::PollFinished, this, [this, id] {
     if (const auto entry = workers_.find(id); entry != workers_.end()) {
@@ -355,6 +357,7 @@
                 service_,
                 " worker=",
                 id,
+                workers::RunsThereOf(entry.worker_->State()),
                 " age_ms=",
                 age.value_or(clock::Milliseconds(0)).count(),
                 " after_ms=",
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -3,8 +3,10 @@
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
 #include "include/quetzal/sharing/SpeedLimit.h"
+#include "include/quetzal/workers/Evidence.h"
 
 #include <algorithm>
+#include <sstream>
 
 /** The functions of a cell that serve the fleet: reports to the fleet's owner, orders from that
  * owner, and periodic work on the cell's workers. */
@@ -36,6 +38,17 @@
 /** Reported progress from which a task that runs until cancelled is available. */
 constexpr int kAvailableProgressPercent = 100;
 
+/** Logs that the platform no longer shows a worker, and with it the runs that may end for that. */
+void
+LogGone(const std::string& aService, const Worker& aWorker)
+{
+  const workers::RunsThere there = workers::RunsThereOf(aWorker.State());
+  std::ostringstream text;
+  text << "event=worker-gone cell=" << aService << " worker=" << aWorker.Registration().id_
+       << workers::KnownIncarnationOf(aWorker.State(), Now()) << there;
+  log::Write(workers::LevelFor(there), "cell", text.str());
+}
+
 } // namespace
 
 CellReport
@@ -164,22 +177,11 @@
       worker.EndTerminatedRuns(seenGoneAt);
       continue;
     }
-    const std::size_t runs = worker.State().runs_.size();
     entry->second.terminated_ = true;
     entry->second.rosterRequested_ = false;
     worker.SetInRoster(false);
+    LogGone(service_, worker);
     worker.EndTerminatedRuns(seenGoneAt);
-    log::Info("cell",
-              "event=worker-gone cell=",
-              service_,
-              " worker=",
-              id,
-              " born=",
-              worker.State().startedMs_,
-              " runs=",
-              runs,
-              " in_doubt=",
-              worker.State().runs_.size());
     any = true;
   }
   if (any) {
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -3,6 +3,7 @@
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
 #include "include/quetzal/placement/Speculation.h"
+#include "include/quetzal/workers/Evidence.h"
 
 #include <algorithm>
 #include <array>
@@ -463,6 +464,7 @@
     aRun,
     " worker=",
     worker,
+    workers::KnownIncarnationOf(aEntry.worker_->State(), Now()),
     " free_cpu=",
     workers::FreeCapacity(aEntry.worker_->State(), aEntry.worker_->Registration().capacity_).cpu_);
   context_.metrics_->Add("quetzal_starts_total", { { "service", service_ } });
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
+#include "include/quetzal/workers/Evidence.h"
 #include "include/quetzal/workers/RunBounds.h"
 
 #include <algorithm>
@@ -58,6 +59,7 @@
   registered_ = true;
   registration_ = aRegistration;
   if (state_.startedMs_ != 0 && aRegistration.startedMs_ > state_.startedMs_) {
+    NoteRestartSign("registration", aRegistration.startedMs_);
     mayHaveRestarted_ = true;
     PollSoon();
   }
@@ -176,20 +178,18 @@
 void
 Worker::EndLapsedRuns(clock::Moment aNow)
 {
-  const std::map<jobs::TaskId, workers::Run> lapsed =
-    workers::TakeLapsedRuns(state_, aNow, times_);
+  const workers::RunsThere there = workers::RunsThereOf(state_);
+  const std::map<jobs::TaskId, workers::Run> lapsed = workers::TakeLapsedRuns(state_, aNow, times_);
   if (lapsed.empty()) {
     return;
   }
   log::Warn("worker",
             "event=lease-lapsed worker=",
             registration_.id_,
-            " born=",
-            state_.startedMs_,
-            " runs=",
+            workers::KnownIncarnationOf(state_, aNow),
+            there,
+            " ended=",
             lapsed.size(),
-            " in_doubt=",
-            state_.runs_.size(),
             " granted_ms=",
             state_.leaseEndMs_);
   EndRuns(lapsed, jobs::EndKind::kLapsed);
@@ -210,8 +210,7 @@
   // once, and only to a worker that has answered since it reported that end.
   const std::int64_t recorded = workers::RecordedUpTo(state_);
   const bool isKnown = !unresponsive_ && !mayHaveRestarted_;
-  order.acknowledgeUpTo_ =
-    isKnown && recorded > state_.lastAcknowledgedEnd_ ? recorded : 0;
+  order.acknowledgeUpTo_ = isKnown && recorded > state_.lastAcknowledgedEnd_ ? recorded : 0;
   const bool mayRenew = sinceLeaseLapse_() < kLeaseLapseGrace;
   if (state_.clock_ && workers::HasRuns(state_) && isKnown && mayRenew) {
     order.leaseEndMs_ =
@@ -254,7 +253,7 @@
     return;
   }
   if (unresponsive_) {
-    log::Info("worker", "event=worker-back worker=", registration_.id_);
+    LogChange("worker-back");
   }
   unresponsive_ = false;
   mayHaveRestarted_ = false;
@@ -291,8 +290,8 @@
               registration_.id_,
               " status=",
               workers::ToString(aStatus.status_),
-              " runs=",
-              state_.runs_.size());
+              workers::KnownIncarnationOf(state_, clock::Now()),
+              workers::RunsThereOf(state_));
   }
   unresponsive_ = true;
   SchedulePoll(kUnresponsiveInterval);
@@ -323,7 +322,9 @@
     state_.startedMs_ = aStartedMs;
     return;
   }
+  const workers::KnownIncarnation former = workers::KnownIncarnationOf(state_, clock::Now());
   ForgetIncarnation(aStartedMs);
+  CountRestartSign("poll");
   staleFence_ = fence_;
   mayObeyStaleCalls_ = true;
   EndRuns(workers::TakeConfirmedRuns(state_, aPolledAt, times_), jobs::EndKind::kLapsed);
@@ -331,12 +332,13 @@
     log::Warn("worker",
               "event=order-in-doubt worker=",
               registration_.id_,
-              " born=",
-              aStartedMs,
               " task=",
               jobs::ToString(task),
               " run=",
-              run.number_);
+              run.number_,
+              former,
+              " next_born=",
+              aStartedMs);
     if (run.state_ == workers::RunState::kStopping) {
       SendStop(task, run.number_); // A stop binds only the incarnation that has confirmed it.
     }
@@ -355,13 +357,10 @@
 void
 Worker::ForgetIncarnation(std::int64_t aStartedMs)
 {
-  log::Info("worker",
-            "event=worker-reborn worker=",
-            registration_.id_,
-            " born=",
-            aStartedMs,
-            " runs=",
-            state_.runs_.size());
+  // While another id answers at the address, each poll tells so.
+  if (aStartedMs != 0 || state_.startedMs_ != 0 || workers::HasRuns(state_)) {
+    LogChange("worker-reborn", " next_born=" + std::to_string(aStartedMs));
+  }
   ++incarnation_;
   state_.startedMs_ = aStartedMs;
   state_.lastReportedEnd_ = 0;
@@ -373,6 +372,7 @@
 void
 Worker::EndRuns(const std::map<jobs::TaskId, workers::Run>& aRuns, jobs::EndKind aKind)
 {
+  Count("quetzal_runs_ended_in_doubt_total", workers::CountInDoubt(aRuns));
   for (const auto& [task, run] : aRuns) {
     Q_EMIT RunEnded(task, run.number_, aKind, {}, 0);
   }
@@ -391,7 +391,18 @@
 {
   synchronized_ = true;
   unresponsive_ = true;
-  EndRuns(workers::TakeTerminatedRuns(state_, aSeenGoneAt, times_), jobs::EndKind::kLapsed);
+  const workers::RunsThere there = workers::RunsThereOf(state_);
+  const auto terminated = workers::TakeTerminatedRuns(state_, aSeenGoneAt, times_);
+  if (!terminated.empty()) {
+    log::Warn("worker",
+              "event=runs-terminated worker=",
+              registration_.id_,
+              workers::KnownIncarnationOf(state_, clock::Now()),
+              there,
+              " ended=",
+              terminated.size());
+  }
+  EndRuns(terminated, jobs::EndKind::kLapsed);
 }
 
 std::optional<clock::Milliseconds>
--- a/src/cells/WorkerOrders.cpp
+++ b/src/cells/WorkerOrders.cpp
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
+#include "include/quetzal/workers/Evidence.h"
 #include "include/quetzal/workers/RunBounds.h"
 
 #include <algorithm>
@@ -16,8 +17,8 @@
 /** Time for which nothing is started on a worker that found an order invalid or is unhealthy, and
  * after which a refused order is repeated. */
 constexpr clock::Milliseconds kStartPause{ 700 };
-/** A worker that leaves an order unanswered this often is asked no more; each repetition adds to the
- * time for which the order may still arrive. */
+/** A worker that leaves an order unanswered this often is asked no more; each repetition adds to
+ * the time for which the order may still arrive. */
 constexpr int kMaxRepeats = 4;
 
 } // namespace
@@ -68,8 +69,8 @@
   run.inFlightSince_ = {};
   switch (aReply.status_) {
     case OrderStatus::kAccepted:
-      run.confirmed_ = run.confirmed_ || workers::IsOfPresentIncarnation(
-                                           state_, aSent.sentAt_, now, aReply.clockMs_);
+      run.confirmed_ = run.confirmed_ ||
+                       workers::IsOfPresentIncarnation(state_, aSent.sentAt_, now, aReply.clockMs_);
       if (run.state_ != workers::RunState::kStopping) {
         run.state_ = workers::RunState::kRunning;
       }
@@ -131,17 +132,18 @@
     return;
   }
   ++aRun.repeats_;
+  Count("quetzal_starts_repeated_total");
   log::Detail("worker",
               "event=start-repeated worker=",
               registration_.id_,
-              " born=",
-              state_.startedMs_,
               " task=",
               jobs::ToString(aRun.order_->task_),
               " run=",
               aRun.number_,
               " repeats=",
-              aRun.repeats_);
+              aRun.repeats_,
+              workers::KnownIncarnationOf(state_, clock::Now()),
+              workers::RunsThereOf(state_));
   SendStart(aRun.order_);
 }
 
@@ -150,13 +152,7 @@
 {
   if (aClockMs != 0 && state_.clock_ && !mayHaveRestarted_ &&
       !workers::IsOfPresentIncarnation(state_, aSentAt, clock::Now(), aClockMs)) {
-    log::Info("worker",
-              "event=worker-restart-noticed worker=",
-              registration_.id_,
-              " born=",
-              state_.startedMs_,
-              " clock_ms=",
-              aClockMs);
+    NoteRestartSign("clock", aClockMs);
     mayHaveRestarted_ = true;
     PollSoon();
   }
@@ -202,27 +198,28 @@
 void
 Worker::SendStop(const jobs::TaskId& aTask, std::int64_t aRun)
 {
-  const auto onReply = [this, aTask, aRun, fence = fence_, incarnation = incarnation_, sentAt = clock::Now()](
-                         const workers::OrderReply& aReply) {
-    workers::Run* const run = workers::FindRun(state_, { aTask, aRun });
-    if (run == nullptr) {
-      return;
-    }
-    CheckIncarnation(sentAt, aReply.clockMs_);
-    // An answer that arrives after a restart may be of the earlier incarnation.
-    const bool isCurrent = incarnation == incarnation_;
-    if (aReply.status_ == workers::OrderStatus::kFenced && fence == fence_) {
-      Q_EMIT Fenced();
-    } else if (isCurrent && aReply.status_ == workers::OrderStatus::kOtherIncarnation) {
-      EndIncarnation();
-      PollSoon();
-    } else if (isCurrent && aReply.status_ == workers::OrderStatus::kAccepted) {
-      run->stopConfirmedAt_ = clock::Now();
-      PollSoon();
-    } else {
-      RetryStop(aTask, aRun);
-    }
-  };
+  const auto onReply =
+    [this, aTask, aRun, fence = fence_, incarnation = incarnation_, sentAt = clock::Now()](
+      const workers::OrderReply& aReply) {
+      workers::Run* const run = workers::FindRun(state_, { aTask, aRun });
+      if (run == nullptr) {
+        return;
+      }
+      CheckIncarnation(sentAt, aReply.clockMs_);
+      // An answer that arrives after a restart may be of the earlier incarnation.
+      const bool isCurrent = incarnation == incarnation_;
+      if (aReply.status_ == workers::OrderStatus::kFenced && fence == fence_) {
+        Q_EMIT Fenced();
+      } else if (isCurrent && aReply.status_ == workers::OrderStatus::kOtherIncarnation) {
+        EndIncarnation();
+        PollSoon();
+      } else if (isCurrent && aReply.status_ == workers::OrderStatus::kAccepted) {
+        run->stopConfirmedAt_ = clock::Now();
+        PollSoon();
+      } else {
+        RetryStop(aTask, aRun);
+      }
+    };
   port_->Stop(aTask, aRun, fence_, onReply);
 }
 
