--- a/src/explain/UncertainRuns.cpp
+++ b/src/explain/UncertainRuns.cpp
@@ -44,6 +44,7 @@
     const std::string& event = aRecord.event_;
     if (std::find(kJudgements.begin(), kJudgements.end(), event) != kJudgements.end()) {
       judgements_[{ aRecord.process_, ValueOf(aRecord, "worker") }] = aRecord;
+      ReadNextIncarnation(aRecord);
     } else if (event == "task-start") {
       bornAtStart_[name] = ValueOf(aRecord, "born");
     } else if (event == "start-repeated") {
@@ -91,6 +92,19 @@
     }
   }
 
+  /** Notes for which runs the judged incarnation may have been over before they were judged. */
+  void ReadNextIncarnation(const LogRecord& aRecord)
+  {
+    const std::string nextBorn = ValueOf(aRecord, "next_born");
+    for (UncertainRun& run : runs_) {
+      if (run.takenForEnded_ && run.seenLater_.empty() &&
+          run.worker_ == ValueOf(aRecord, "worker") &&
+          run.judgedBorn_ == ValueOf(aRecord, "born")) {
+        run.seenLater_ = nextBorn;
+      }
+    }
+  }
+
   void ReadSecondRun(const LogRecord& aRecord)
   {
     const RunName known{ ValueOf(aRecord, "task"), ValueOf(aRecord, "known_run") };
@@ -120,7 +134,9 @@
   }
   const std::string heard =
     aRun.heardMsAgo_.empty() ? "" : ", heard " + aRun.heardMsAgo_ + " ms before";
-  return "; taken for ended by " + aRun.judgedBy_ + OnIncarnation(aRun.judgedBorn_) + heard;
+  const std::string later =
+    aRun.seenLater_.empty() ? "" : "; the worker was seen later as born " + aRun.seenLater_;
+  return "; taken for ended by " + aRun.judgedBy_ + OnIncarnation(aRun.judgedBorn_) + heard + later;
 }
 
 } // namespace
--- a/tests/unit/ExplainTest.cpp
+++ b/tests/unit/ExplainTest.cpp
@@ -190,6 +190,20 @@
                     "on the incarnation born 100, heard 5100 ms before."));
 }
 
+BOOST_AUTO_TEST_CASE(Run_JudgedBeforeARestartWasSeen_SaysWhatWasSeenLater)
+{
+  const History history =
+    HistoryOf(kJob,
+              { Line(0, "a", "event=task-start cell=c task=" + kTask + " run=1 worker=w born=100"),
+                Line(900, "a", "event=lease-lapsed worker=w born=100 heard_ms_ago=5100 runs=1"),
+                Line(901, "a", TaskEnded(1, "lapsed", 0)),
+                Line(950, "a", "event=worker-reborn worker=w born=99 runs=0 next_born=150"),
+                Line(1'000, "a", "event=worker-reborn worker=w born=100 runs=0 next_born=200"),
+                Line(1'100, "a", "event=worker-reborn worker=w born=200 runs=0 next_born=300") });
+  BOOST_TEST(
+    Says(ConclusionOf(history), "heard 5100 ms before; the worker was seen later as born 200."));
+}
+
 BOOST_AUTO_TEST_CASE(Run_RepeatedAndInDoubtOverARestart_SaysSo)
 {
   const History history = HistoryOf(
