--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -201,6 +201,7 @@
   if (polling_) {
     return;
   }
+  workers::RemoveSettledOrders(state_, IsResponsive(), clock::Now(), times_);
   polling_ = true;
   pollRequested_ = false;
   const clock::Moment now = std::chrono::steady_clock::now();
@@ -328,6 +329,7 @@
   staleFence_ = fence_;
   mayObeyStaleCalls_ = true;
   EndRuns(workers::TakeConfirmedRuns(state_, aPolledAt, times_), jobs::EndKind::kLapsed);
+  std::vector<workers::RunKey> toStop;
   for (const auto& [task, run] : state_.runs_) {
     log::Warn("worker",
               "event=order-in-doubt worker=",
@@ -340,9 +342,12 @@
               " next_born=",
               aStartedMs);
     if (run.state_ == workers::RunState::kStopping) {
-      SendStop(task, run.number_); // A stop binds only the incarnation that has confirmed it.
+      toStop.push_back({ task, run.number_ });
     }
   }
+  for (const workers::RunKey& key : toStop) {
+    SendStop(key.task_, key.number_); // A stop binds only the incarnation that has confirmed it.
+  }
   Q_EMIT Restarted();
 }
 
@@ -424,7 +429,7 @@
     }
     state_.lastReportedEnd_ = end.number_;
     state_.unrecordedEnds_.insert(end.number_);
-    workers::RemoveRun(state_, end.task_, end.run_);
+    workers::RemoveEndedRun(state_, { end.task_, end.run_ }, end.kind_);
     Q_EMIT RunEnded(end.task_, end.run_, end.kind_, end.checkpoint_, end.number_);
   }
 }
@@ -457,6 +462,7 @@
 Worker::CheckMissingRuns(const std::set<workers::RunKey>& aSeen, const SentPoll& aPoll)
 {
   std::vector<workers::RunKey> missing;
+  std::vector<workers::RunKey> toRepeat;
   for (auto& [task, run] : state_.runs_) {
     const clock::Moment never{};
     const bool isInFlight = run.inFlightSince_ != never;
@@ -473,14 +479,18 @@
       missing.push_back({ task, run.number_ });
     } else if (!isStopping) {
       run.state_ = workers::RunState::kUnconfirmed;
-      RepeatStart(run);
+      toRepeat.push_back({ task, run.number_ });
     }
   }
   RemoveMissingOrphans(aSeen, aPoll.sentAt_);
   for (const workers::RunKey& key : missing) {
-    workers::RemoveRun(state_, key.task_, key.number_);
+    workers::RemoveEndedRun(state_, key, jobs::EndKind::kStopped);
     Q_EMIT StartFailed(key.task_, key.number_, workers::OrderStatus::kNoAnswer);
   }
+  // A call may report that another one has failed, which removes that one's run.
+  for (const workers::RunKey& key : toRepeat) {
+    RepeatStart(key);
+  }
 }
 
 void
--- a/src/cells/WorkerOrders.cpp
+++ b/src/cells/WorkerOrders.cpp
@@ -125,26 +125,30 @@
 }
 
 void
-Worker::RepeatStart(workers::Run& aRun)
+Worker::RepeatStart(const workers::RunKey& aKey)
 {
-  if (!aRun.order_ || aRun.repeats_ >= kMaxRepeats || clock::Now() < aRun.repeatAfter_ ||
-      !IsSchedulable()) {
+  const auto entry = state_.runs_.find(aKey.task_);
+  if (entry == state_.runs_.end() || entry->second.number_ != aKey.number_ || !IsSchedulable()) {
     return;
   }
-  ++aRun.repeats_;
+  workers::Run& run = entry->second;
+  if (!run.order_ || run.repeats_ >= kMaxRepeats || clock::Now() < run.repeatAfter_) {
+    return;
+  }
+  ++run.repeats_;
   Count("quetzal_starts_repeated_total");
   log::Detail("worker",
               "event=start-repeated worker=",
               registration_.id_,
               " task=",
-              jobs::ToString(aRun.order_->task_),
+              jobs::ToString(aKey.task_),
               " run=",
-              aRun.number_,
+              aKey.number_,
               " repeats=",
-              aRun.repeats_,
+              run.repeats_,
               workers::KnownIncarnationOf(state_, clock::Now()),
               workers::RunsThereOf(state_));
-  SendStart(aRun.order_);
+  SendStart(run.order_);
 }
 
 void
--- a/src/workers/RunBounds.cpp
+++ b/src/workers/RunBounds.cpp
@@ -12,6 +12,8 @@
 constexpr clock::Milliseconds kAgeMargin{ 5'000 };
 /** Margin between two clocks that are rounded to milliseconds. */
 constexpr double kClockMarginMs = 5;
+/** Longest time between an answer's clock reading and its arrival, in milliseconds. */
+constexpr double kMaxTransitMs = 2'000;
 
 double
 MillisecondsBetween(clock::Moment aThen, clock::Moment aNow)
@@ -95,7 +97,7 @@
   const double latest =
     static_cast<double>(aState.clock_->clockMs_) + sinceReading * (1 + kMaxClockDrift);
   const auto clock = static_cast<double>(aClockMs);
-  return clock >= EarliestClockAt(aState, aSentAt) && clock <= latest + kClockMarginMs;
+  return clock >= EarliestClockAt(aState, aSentAt) && clock <= latest + kMaxTransitMs;
 }
 
 clock::Moment
@@ -163,6 +165,29 @@
   return confirmed;
 }
 
+void
+RemoveEndedRun(WorkerState& aState, const RunKey& aKey, jobs::EndKind aKind)
+{
+  const Run* const run = FindRun(aState, aKey);
+  if (run != nullptr && aKind != jobs::EndKind::kDone && LastUnanswered(*run) != kNever) {
+    aState.openOrders_[aKey] = LastUnanswered(*run);
+  }
+  RemoveRun(aState, aKey.task_, aKey.number_);
+}
+
+void
+RemoveSettledOrders(WorkerState& aState,
+                    bool aIsResponsive,
+                    clock::Moment aNow,
+                    const LeaseTimes& aTimes)
+{
+  std::erase_if(aState.openOrders_, [&aState, aIsResponsive, aNow, &aTimes](const auto& aOrder) {
+    const clock::Moment end = aIsResponsive ? aOrder.second + aTimes.maxCallDelay_
+                                            : LatestEndInDoubt(aState, aOrder.second, aTimes);
+    return aNow > end;
+  });
+}
+
 clock::Milliseconds
 LeaseAtFirstAnswer(std::optional<clock::Milliseconds> aAge, const LeaseTimes& aTimes)
 {
