--- a/include/quetzal/cells/Worker.h
+++ b/include/quetzal/cells/Worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/quetzal/jobs/Records.h"
+#include "include/quetzal/metrics/Registry.h"
 #include "include/quetzal/workers/LeaseTimes.h"
 #include "include/quetzal/workers/WorkerState.h"
 
@@ -41,6 +42,9 @@
    */
   void RepeatOrdersIf(MayRepeat aMayRepeat) { mayRepeat_ = std::move(aMayRepeat); }
 
+  /** Counts restarts, repeated starts and runs that ended in doubt. */
+  void CountEventsIn(metrics::Registry& aMetrics) { metrics_ = &aMetrics; }
+
   /** Sends the first poll. */
   void BeginPolling();
 
@@ -206,6 +210,15 @@
   bool MayHaveRestarted() const { return restartNoticedAt_ != clock::Moment{}; }
   void SchedulePoll(clock::Milliseconds aDelay);
   void OnTimer();
+  /** Logs an event that concerns all runs on the worker, with what is known of both. */
+  void LogChange(const char* aEvent, const std::string& aDetails = {}) const;
+  /** Logs and counts that the worker may have restarted, once before the poll that shows it.
+   * @param aBy what shows it. @param aReading the reading that the known incarnation cannot have.
+   */
+  void NoteRestartSign(const char* aBy, std::int64_t aReading);
+  void CountRestartSign(const char* aBy);
+  /** Adds to a counter of this worker's service. */
+  void Count(const char* aName, std::size_t aAmount = 1, metrics::Labels aLabels = {});
 
   workers::Registration registration_;
   std::unique_ptr<workers::WorkerPort> port_;
@@ -232,6 +245,8 @@
   /** The present incarnation has not answered under a higher fence than staleFence_ yet. */
   bool mayObeyStaleCalls_ = false;
   clock::Moment startsPausedUntil_{};
+  std::int64_t notedRestartSign_ = 0;    ///< Last reading that was logged as the sign of a restart.
+  metrics::Registry* metrics_ = nullptr; ///< Null: nothing is counted.
 };
 
 } // namespace quetzal::cells
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
+#include "include/quetzal/workers/Evidence.h"
 #include "include/quetzal/workers/RunBounds.h"
 
 #include <QtCore/QPointer>
@@ -196,6 +197,7 @@
   worker->CountUseIn(quotaUse_);
   worker->RepeatOrdersIf(
     [this, id](const workers::RunKey& aKey) { return MayRepeatStart(id, aKey); });
+  worker->CountEventsIn(*context_.metrics_);
   worker->SetCordoned(cordoned_.contains(id));
   connect(worker, &Worker::PollFinished, this, [this, id] {
     if (const auto entry = workers_.find(id); entry != workers_.end()) {
@@ -352,7 +354,12 @@
   for (auto& [id, entry] : workers_) {
     const bool hasAnswered = entry.worker_->State().clock_.has_value();
     if (entry.inherited_ && !entry.worker_->IsSynchronized() && !hasAnswered) {
-      log::Warn("cell", "event=worker-given-up cell=", service_, " worker=", id);
+      log::Warn("cell",
+                "event=worker-given-up cell=",
+                service_,
+                " worker=",
+                id,
+                workers::RunsThereOf(entry.worker_->State()));
       entry.worker_->GiveUp();
       entry.inherited_ = false;
     }
--- a/src/cells/Worker.cpp
+++ b/src/cells/Worker.cpp
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
+#include "include/quetzal/workers/Evidence.h"
 #include "include/quetzal/workers/RunBounds.h"
 
 #include <algorithm>
@@ -58,6 +59,7 @@
   registered_ = true;
   registration_ = aRegistration;
   if (state_.startedMs_ != 0 && aRegistration.startedMs_ > state_.startedMs_) {
+    NoteRestartSign("registration", aRegistration.startedMs_);
     restartNoticedAt_ = clock::Now();
     PollSoon();
   }
@@ -177,6 +179,7 @@
 void
 Worker::EndLapsedRuns(clock::Moment aNow)
 {
+  const workers::RunsThere there = workers::RunsThereOf(state_);
   const std::map<jobs::TaskId, workers::Run> lapsed = workers::TakeLapsedRuns(state_, aNow, times_);
   if (lapsed.empty()) {
     return;
@@ -184,12 +187,10 @@
   log::Warn("worker",
             "event=lease-lapsed worker=",
             registration_.id_,
-            " born=",
-            state_.startedMs_,
-            " runs=",
+            workers::KnownIncarnationOf(state_, aNow),
+            there,
+            " ended=",
             lapsed.size(),
-            " in_doubt=",
-            state_.runs_.size(),
             " granted_ms=",
             state_.leaseEndMs_);
   EndRuns(lapsed, jobs::EndKind::kLapsed);
@@ -254,7 +255,7 @@
     return;
   }
   if (unresponsive_) {
-    log::Info("worker", "event=worker-back worker=", registration_.id_);
+    LogChange("worker-back");
   }
   unresponsive_ = false;
   if (aPoll.sentAt_ > restartNoticedAt_) {
@@ -294,8 +295,8 @@
               registration_.id_,
               " status=",
               workers::ToString(aStatus.status_),
-              " runs=",
-              state_.runs_.size());
+              workers::KnownIncarnationOf(state_, clock::Now()),
+              workers::RunsThereOf(state_));
   }
   if (!unresponsive_) {
     state_.leaseSentAt_ = clock::Now(); // The failed poll may still grant its lease.
@@ -329,7 +330,9 @@
     state_.startedMs_ = aStartedMs;
     return;
   }
+  const workers::KnownIncarnation former = workers::KnownIncarnationOf(state_, clock::Now());
   ForgetIncarnation(aStartedMs);
+  CountRestartSign("poll");
   staleFence_ = fence_;
   mayObeyStaleCalls_ = true;
   EndRuns(workers::TakeConfirmedRuns(state_, aPolledAt, times_), jobs::EndKind::kLapsed);
@@ -338,12 +341,13 @@
     log::Warn("worker",
               "event=order-in-doubt worker=",
               registration_.id_,
-              " born=",
-              aStartedMs,
               " task=",
               jobs::ToString(task),
               " run=",
-              run.number_);
+              run.number_,
+              former,
+              " next_born=",
+              aStartedMs);
     if (run.state_ == workers::RunState::kStopping) {
       toStop.push_back({ task, run.number_ });
     }
@@ -366,13 +370,10 @@
 void
 Worker::ForgetIncarnation(std::int64_t aStartedMs)
 {
-  log::Info("worker",
-            "event=worker-reborn worker=",
-            registration_.id_,
-            " born=",
-            aStartedMs,
-            " runs=",
-            state_.runs_.size());
+  // While another id answers at the address, each poll tells so.
+  if (aStartedMs != 0 || state_.startedMs_ != 0 || workers::HasRuns(state_)) {
+    LogChange("worker-reborn", " next_born=" + std::to_string(aStartedMs));
+  }
   ++incarnation_;
   state_.startedMs_ = aStartedMs;
   state_.lastReportedEnd_ = 0;
@@ -384,6 +385,7 @@
 void
 Worker::EndRuns(const std::map<jobs::TaskId, workers::Run>& aRuns, jobs::EndKind aKind)
 {
+  Count("quetzal_runs_ended_in_doubt_total", workers::CountInDoubt(aRuns));
   for (const auto& [task, run] : aRuns) {
     Q_EMIT RunEnded(task, run.number_, aKind, {}, 0);
   }
@@ -402,7 +404,18 @@
 {
   synchronized_ = true;
   unresponsive_ = true;
-  EndRuns(workers::TakeTerminatedRuns(state_, aSeenGoneAt, times_), jobs::EndKind::kLapsed);
+  const workers::RunsThere there = workers::RunsThereOf(state_);
+  const auto terminated = workers::TakeTerminatedRuns(state_, aSeenGoneAt, times_);
+  if (!terminated.empty()) {
+    log::Warn("worker",
+              "event=runs-terminated worker=",
+              registration_.id_,
+              workers::KnownIncarnationOf(state_, clock::Now()),
+              there,
+              " ended=",
+              terminated.size());
+  }
+  EndRuns(terminated, jobs::EndKind::kLapsed);
 }
 
 std::optional<clock::Milliseconds>
--- a/src/cells/WorkerOrders.cpp
+++ b/src/cells/WorkerOrders.cpp
@@ -2,6 +2,7 @@
 
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
+#include "include/quetzal/workers/Evidence.h"
 #include "include/quetzal/workers/RunBounds.h"
 
 #include <algorithm>
@@ -145,17 +146,18 @@
     return;
   }
   ++run.repeats_;
+  Count("quetzal_starts_repeated_total");
   log::Detail("worker",
               "event=start-repeated worker=",
               registration_.id_,
-              " born=",
-              state_.startedMs_,
               " task=",
               jobs::ToString(aKey.task_),
               " run=",
               aKey.number_,
               " repeats=",
-              run.repeats_);
+              run.repeats_,
+              workers::KnownIncarnationOf(state_, clock::Now()),
+              workers::RunsThereOf(state_));
   SendStart(run.order_);
 }
 
@@ -164,13 +166,7 @@
 {
   if (aClockMs != 0 && state_.clock_ && !MayHaveRestarted() &&
       !workers::IsOfPresentIncarnation(state_, aSentAt, clock::Now(), aClockMs)) {
-    log::Info("worker",
-              "event=worker-restart-noticed worker=",
-              registration_.id_,
-              " born=",
-              state_.startedMs_,
-              " clock_ms=",
-              aClockMs);
+    NoteRestartSign("clock", aClockMs);
     restartNoticedAt_ = clock::Now();
     PollSoon();
   }
