--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -1,4 +1,5 @@
-/** quetzal-soak: runs real entry hosts on the stand-in platform under random faults. Checks that
+/** quetzal-soak: runs real entry hosts on the stand-in platform under random faults: of the entry
+ * hosts, of the store, and of workers that restart under their ids and are cut off. Checks that
  * every accepted job completes, that no task runs twice at once or again after its completion, that
  * no refused job runs, that no job runs whose cancel was answered with "no such job", and that an
  * entry host which is told to stop answers each request that was sent on a connection to it. Exits
@@ -9,6 +10,7 @@
 #include "tests/harness/RawCaller.h"
 
 #include <QtCore/QCoreApplication>
+#include <array>
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -22,7 +24,8 @@
 
 constexpr int kEntryHosts = 3;
 constexpr int kWorkers = 8;
-constexpr int kTaskMs = 200;
+/** Durations of tasks, some of which last longer than the lease that a start order grants. */
+constexpr std::array kTaskMs{ 200, 900, 3'000 };
 constexpr auto kLateCallInterval = 50ms;
 constexpr unsigned kOk = 200;
 constexpr unsigned kGone = 410;
@@ -30,6 +33,8 @@
 /** Jobs whose callers leave without an answer at a kill or a pause, and cancel them elsewhere. */
 constexpr int kCancelledJobs = 6;
 constexpr auto kCancelTimeout = 4'000ms;
+/** Latest value at which the clock of a worker's incarnation begins. */
+constexpr int kLatestClockMs = 600'000;
 
 /** One soak run with its own seed and deployment. */
 class Soak
@@ -37,7 +42,7 @@
 public:
   explicit Soak(unsigned aSeed)
     : random_(aSeed)
-    , jobs_(kEntryHosts, kWorkers, kTaskMs)
+    , jobs_(kEntryHosts, kWorkers, kTaskMs.at(random_() % kTaskMs.size()))
   {
   }
 
@@ -130,7 +135,7 @@
   {
     const int entry = RandomBelow(kEntryHosts);
     const std::string worker = std::to_string(RandomBelow(kWorkers));
-    switch (RandomBelow(9)) {
+    switch (RandomBelow(11)) {
       case 0:
         KillAndRestart(entry);
         break;
@@ -150,12 +155,14 @@
         jobs_.Control("/store?mood=forgetful");
         break;
       case 6:
-        jobs_.Control("/silence?on=1&worker=" + worker +
-                      "&late-ms=" + std::to_string(RandomBelow(4'000)));
-        silenced_.insert(worker);
+        Silence(worker, 0ms);
         break;
       case 7:
-        jobs_.Control("/reboot?worker=" + worker);
+        RestartWorker(worker);
+        break;
+      case 8:
+      case 9:
+        RestartAndSilenceWorkers();
         break;
       default:
         EndFaults();
@@ -163,6 +170,50 @@
     }
   }
 
+  /** Cuts a worker off, which carries out calls late or not at all.
+   * @param aTime for how long; 0: until the faults end. */
+  void Silence(const std::string& aWorker, std::chrono::milliseconds aTime)
+  {
+    const std::string answersStarts = std::to_string(RandomBelow(2));
+    const std::string delay = std::to_string(RandomBelow(4'000));
+    jobs_.Control("/silence?on=1&worker=" + aWorker + "&answer-starts=" + answersStarts +
+                  "&late-ms=" + delay + "&for-ms=" + std::to_string(aTime.count()));
+    silenced_.insert(aWorker);
+  }
+
+  /** Restarts a worker under its id, which registers again some time later. */
+  void RestartWorker(const std::string& aWorker)
+  {
+    const std::string clock = std::to_string(1 + RandomBelow(kLatestClockMs));
+    const std::string registered = std::to_string(RandomBelow(2'000));
+    jobs_.Control("/reboot?worker=" + aWorker + "&clock-ms=" + clock +
+                  "&register-ms=" + registered);
+  }
+
+  /** Restarts workers and cuts each off before or right after it, so that owners may not hear of
+   * the new incarnation for a while, which takes orders that were meant for the one before it. An
+   * owner may be killed meanwhile. */
+  void RestartAndSilenceWorkers()
+  {
+    const int count = 1 + RandomBelow(kWorkers / 2);
+    for (int i = 0; i < count; ++i) {
+      const std::string worker = std::to_string(RandomBelow(kWorkers));
+      const std::chrono::milliseconds silence(1'000 + RandomBelow(9'000));
+      if (RandomBelow(2) == 0) {
+        Silence(worker, silence);
+        SubmitJobs();
+        RestartWorker(worker);
+      } else {
+        RestartWorker(worker);
+        SubmitJobs();
+        Silence(worker, silence);
+      }
+    }
+    if (RandomBelow(3) == 0) {
+      KillAndRestart(RandomBelow(kEntryHosts));
+    }
+  }
+
   void KillAndRestart(int aEntry)
   {
     auto cancelled = BeginCancelledJobs(aEntry);
