--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -33,12 +33,13 @@
 /** Jobs whose callers leave without an answer at a kill or a pause, and cancel them elsewhere. */
 constexpr int kCancelledJobs = 6;
 constexpr auto kCancelTimeout = 4'000ms;
-/** Latest value at which the clock of a worker's incarnation begins. */
-constexpr int kLatestClockMs = 600'000;
+/** Latest value at which the clock of a restarted worker begins. Most are below the clock before,
+ * so that the deadlines of earlier orders lie far ahead. */
+constexpr int kLatestClockMs = 20'000;
 /** Longest time by which a silent worker carries calls out late. */
 constexpr int kLongestDelayMs = 12'000;
 /** Owners fill one worker after another, so that the first ones have the most runs. */
-constexpr int kBusyWorkers = 4;
+constexpr int kBusyWorkers = 2;
 
 /** One soak run with its own seed and deployment. */
 class Soak
@@ -159,7 +160,7 @@
         jobs_.Control("/store?mood=forgetful");
         break;
       case 6:
-        Silence(worker, 0ms);
+        Silence(worker, false, 0ms);
         break;
       case 7:
         RestartWorker(worker);
@@ -175,13 +176,14 @@
   }
 
   /** Cuts a worker off, which carries out calls late or not at all.
+   * @param aAnswersStarts whether it still takes and answers start orders.
    * @param aTime for how long; 0: until the faults end. */
-  void Silence(const std::string& aWorker, std::chrono::milliseconds aTime)
+  void Silence(const std::string& aWorker, bool aAnswersStarts, std::chrono::milliseconds aTime)
   {
-    const std::string answersStarts = std::to_string(RandomBelow(2));
-    const std::string delay = std::to_string(RandomBelow(kLongestDelayMs));
-    jobs_.Control("/silence?on=1&worker=" + aWorker + "&answer-starts=" + answersStarts +
-                  "&late-ms=" + delay + "&for-ms=" + std::to_string(aTime.count()));
+    jobs_.Control("/silence?on=1&worker=" + aWorker +
+                  "&answer-starts=" + (aAnswersStarts ? "1" : "0") +
+                  "&late-ms=" + std::to_string(RandomBelow(kLongestDelayMs)) +
+                  "&for-ms=" + std::to_string(aTime.count()));
     silenced_.insert(aWorker);
   }
 
@@ -194,24 +196,24 @@
                   "&register-ms=" + registered);
   }
 
-  /** Restarts workers and cuts each off before or right after it, so that owners may not hear of
-   * the new incarnation for a while, which takes orders that were meant for the one before it. An
-   * owner may be killed meanwhile. */
+  /** Cuts workers off and restarts them, so that owners hear nothing of the new incarnations for a
+   * while, which take orders that were meant for those before them. An owner may be killed
+   * meanwhile. */
   void RestartAndSilenceWorkers()
   {
     jobs_.Control("/store?mood=well"); // Jobs that are refused give no orders.
-    const int count = 1 + RandomBelow(kBusyWorkers);
+    const int count = 1 + RandomBelow(3);
     for (int i = 0; i < count; ++i) {
       const std::string worker = std::to_string(RandomBelow(kBusyWorkers));
       const std::chrono::milliseconds silence(1'000 + RandomBelow(9'000));
-      if (RandomBelow(2) == 0) {
-        Silence(worker, silence);
-        SubmitJobs();
+      const bool ordersComeLater = RandomBelow(2) == 0;
+      Silence(worker, ordersComeLater, silence);
+      if (ordersComeLater) {
         RestartWorker(worker);
+        SubmitJobs();
       } else {
-        RestartWorker(worker);
         SubmitJobs();
-        Silence(worker, silence);
+        RestartWorker(worker);
       }
     }
     if (RandomBelow(3) == 0) {
