--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -192,8 +192,7 @@
   {
     const std::string clock = std::to_string(1 + RandomBelow(kLatestClockMs));
     const std::string registered = std::to_string(RandomBelow(2'000));
-    jobs_.Control("/reboot?worker=" + aWorker + "&clock-ms=" + clock +
-                  "&register-ms=" + registered);
+    jobs_.Control("/reboot?worker=" + aWorker + "&clock=" + clock + "&register-ms=" + registered);
   }
 
   /** Cuts workers off and restarts them, so that owners hear nothing of the new incarnations for a
--- a/tests/integration/JobsRestartTest.cpp
+++ b/tests/integration/JobsRestartTest.cpp
@@ -30,7 +30,7 @@
   /** Restarts worker 0, which the store shows only much later. */
   void RestartUnseen()
   {
-    jobs_.Control("/reboot?worker=0&register-ms=60000&clock-ms=" + std::to_string(kClockMs));
+    jobs_.Control("/reboot?worker=0&register-ms=60000&clock=" + std::to_string(kClockMs));
   }
 
   void SubmitLongRunning() { BOOST_TEST(jobs_.SubmitUntilAccepted(id_, kTasks, true)); }
