Merge the rule: until when a run may begin, or be alive, on a worker

Cause: what was sent to, or read from, one incarnation of a worker was used to judge another: its clock and lease for a lapse, its absence from the platform's list for orders without an answer, a lease that owners grant for one that a restarted worker grants. Each caller decided for itself.

Change: one rule, workers/RunBounds, which everyone asks who ends a run without its end being listed (the lapse, the list, a new incarnation, a successor's first reading, a worker never heard). An answer proves its incarnation by its clock.

--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -5,6 +5,7 @@
 #include "include/quetzal/cells/SubmissionControl.h"
 #include "include/quetzal/cells/Worker.h"
 #include "include/quetzal/cells/WriteChains.h"
+#include "include/quetzal/clock/Now.h"
 #include "include/quetzal/fleet/Forecast.h"
 #include "include/quetzal/jobs/JobRegistry.h"
 #include "include/quetzal/metrics/Registry.h"
@@ -74,7 +75,7 @@
   workers::WorkerPortFactory makeWorker_;
   workers::PlacementAdvicePort* advice_ = nullptr; ///< Null if there is none.
   metrics::Registry* metrics_ = nullptr;
-  LeaseTimes times_;
+  workers::LeaseTimes times_;
   LeaseLapseClock sinceLeaseLapse_;
   clock::Milliseconds retention_{ 120'000 }; ///< Ended jobs remain visible at least this long.
   clock::Milliseconds moveTime_{ 1'500 };    ///< Time from allocating a host to its arrival.
@@ -163,7 +164,8 @@
 
   /** Marks the unresponsive ones of these workers as terminated. The given workers are no host's
    * current incarnation, so one that is also unresponsive runs nothing any more. */
-  void MarkTerminated(const std::set<std::string>& aWorkers);
+  void MarkTerminated(const std::set<std::string>& aWorkers,
+                      clock::Moment aSeenGoneAt = clock::Now());
 
   /** Stops tasks that run until cancelled on a cordoned worker, so that they start elsewhere. A
    * task is not stopped while no other worker has room for it or too many tasks of its step are
@@ -265,7 +267,10 @@
   void EndRound();
   std::vector<WaitingJob> WaitingJobs(clock::Moment aNow);
   std::vector<placement::Candidate> Candidates(std::vector<WorkerEntry*>& aEntries) const;
-  std::set<jobs::TaskId> OrphanedTasks() const;
+  /** Returns the tasks that have an orphaned run, or whose open order may still begin one. */
+  std::set<jobs::TaskId> BlockedTasks() const;
+  /** Returns whether a run's start order may be sent to its worker again. */
+  bool MayRepeatStart(const std::string& aWorker, const workers::RunKey& aRun);
 
   /** The quotas in force, by organisation. */
   using Quotas = std::map<std::string, workers::Capacity>;
@@ -276,9 +281,9 @@
     clock::Moment now_{};
     std::vector<placement::Candidate> candidates_;
     std::vector<WorkerEntry*> entries_; ///< Of each candidate.
-    /** Tasks with a run that is being stopped as an orphan: they are not started anywhere until it
-     * has ended. */
-    std::set<jobs::TaskId> orphaned_;
+    /** Tasks that may have a run beside those that are known: they are started nowhere until it has
+     * ended, or can no longer begin. */
+    std::set<jobs::TaskId> blocked_;
     Quotas quotas_;
     organisations::FairShares shares_; ///< Empty without organisations.
     int failedSearches_ = 0;           ///< Searches of all candidates that found none for a task.
--- a/src/cells/Cell.cpp
+++ b/src/cells/Cell.cpp
@@ -2,6 +2,8 @@
 
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
+#include "include/quetzal/workers/Evidence.h"
+#include "include/quetzal/workers/RunBounds.h"
 
 #include <QtCore/QPointer>
 #include <algorithm>
@@ -193,6 +195,9 @@
   const std::string id = aRegistration.id_;
   workers_[id].worker_ = worker;
   worker->CountUseIn(quotaUse_);
+  worker->RepeatOrdersIf(
+    [this, id](const workers::RunKey& aKey) { return MayRepeatStart(id, aKey); });
+  worker->CountEventsIn(*context_.metrics_);
   worker->SetCordoned(cordoned_.contains(id));
   connect(worker, &Worker::PollFinished, this, [this, id] {
     if (const auto entry = workers_.find(id); entry != workers_.end()) {
@@ -270,9 +275,8 @@
   std::vector<jobs::RosterEntry> roster;
   for (const auto& [id, entry] : workers_) {
     const settings::Endpoint& endpoint = entry.worker_->Registration().endpoint_;
-    const bool mayHaveRuns =
-      entry.inherited_ || entry.rosterRequested_ || entry.worker_->UnfinishedRuns() > 0;
-    if (!entry.terminated_ && mayHaveRuns) {
+    const bool mayHaveOrders = entry.inherited_ || entry.rosterRequested_;
+    if ((!entry.terminated_ && mayHaveOrders) || entry.worker_->UnfinishedRuns() > 0) {
       roster.push_back({ id, endpoint.address_, endpoint.port_ });
     }
   }
@@ -340,17 +344,23 @@
 void
 Cell::ExpireUnresponsiveWorkers()
 {
-  const clock::Moment now = Now();
-  const clock::Milliseconds lease = LongestLease(context_.times_);
   // The predecessor's lease had lapsed before this owner's began. A worker that is cut off together
   // with the predecessor may lose its registration and still run tasks until its lease lapses.
-  if (now < startedAt_ + kLeaseLapseGrace + lease + kExpiryMargin) {
+  const clock::Moment lastCall = startedAt_ + kLeaseLapseGrace;
+  const auto life = workers::LongestLifeOfPredecessorsRuns(context_.times_);
+  if (Now() < lastCall + life + kExpiryMargin) {
     return;
   }
   for (auto& [id, entry] : workers_) {
-    if (entry.inherited_ && !entry.worker_->IsSynchronized()) {
-      log::Warn("cell", "event=worker-given-up cell=", service_, " worker=", id);
-      entry.worker_->ExpireRuns();
+    const bool hasAnswered = entry.worker_->State().clock_.has_value();
+    if (entry.inherited_ && !entry.worker_->IsSynchronized() && !hasAnswered) {
+      log::Warn("cell",
+                "event=worker-given-up cell=",
+                service_,
+                " worker=",
+                id,
+                workers::RunsThereOf(entry.worker_->State()));
+      entry.worker_->GiveUp();
       entry.inherited_ = false;
     }
   }
--- a/src/cells/CellFleet.cpp
+++ b/src/cells/CellFleet.cpp
@@ -3,8 +3,10 @@
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
 #include "include/quetzal/sharing/SpeedLimit.h"
+#include "include/quetzal/workers/Evidence.h"
 
 #include <algorithm>
+#include <sstream>
 
 /** The functions of a cell that serve the fleet: reports to the fleet's owner, orders from that
  * owner, and periodic work on the cell's workers. */
@@ -34,6 +36,17 @@
 /** Reported progress from which a task that runs until cancelled is available. */
 constexpr int kAvailableProgressPercent = 100;
 
+/** Logs that the platform no longer shows a worker, and with it the runs that may end for that. */
+void
+LogGone(const std::string& aService, const Worker& aWorker)
+{
+  const workers::RunsThere there = workers::RunsThereOf(aWorker.State());
+  std::ostringstream text;
+  text << "event=worker-gone cell=" << aService << " worker=" << aWorker.Registration().id_
+       << workers::KnownIncarnationOf(aWorker.State(), Now()) << there;
+  log::Write(workers::LevelFor(there), "cell", text.str());
+}
+
 } // namespace
 
 CellReport
@@ -148,26 +161,24 @@
 }
 
 void
-Cell::MarkTerminated(const std::set<std::string>& aWorkers)
+Cell::MarkTerminated(const std::set<std::string>& aWorkers, clock::Moment aSeenGoneAt)
 {
   bool any = false;
   for (const std::string& id : aWorkers) {
     const auto entry = workers_.find(id);
-    if (entry == workers_.end() || entry->second.terminated_ ||
-        entry->second.worker_->IsResponsive()) {
+    if (entry == workers_.end() || entry->second.worker_->IsResponsive()) {
+      continue;
+    }
+    Worker& worker = *entry->second.worker_;
+    if (entry->second.terminated_) {
+      worker.EndTerminatedRuns(aSeenGoneAt);
       continue;
     }
-    log::Info("cell",
-              "event=worker-gone cell=",
-              service_,
-              " worker=",
-              id,
-              " runs=",
-              entry->second.worker_->State().runs_.size());
     entry->second.terminated_ = true;
     entry->second.rosterRequested_ = false;
-    entry->second.worker_->SetInRoster(false);
-    entry->second.worker_->ExpireRuns();
+    worker.SetInRoster(false);
+    LogGone(service_, worker);
+    worker.EndTerminatedRuns(aSeenGoneAt);
     any = true;
   }
   if (any) {
@@ -237,6 +248,7 @@
   writer_.Abandon();
   for (const auto& [id, entry] : workers_) {
     entry.worker_->disconnect(this);
+    entry.worker_->StopPolling();
   }
 }
 
@@ -292,7 +304,7 @@
   }
   const bool isUnknown = aEntry.inherited_ && !worker.IsSynchronized();
   // If the worker only lost its registration, it would list ends that are not stored yet again.
-  return !isUnknown && worker.UnfinishedRuns() == 0;
+  return !isUnknown && worker.UnfinishedRuns() == 0 && worker.State().openOrders_.empty();
 }
 
 // --- Sharing --------------------------------------------------------------------------------
--- a/src/cells/CellPlacing.cpp
+++ b/src/cells/CellPlacing.cpp
@@ -3,6 +3,7 @@
 #include "include/quetzal/clock/Now.h"
 #include "include/quetzal/log/Log.h"
 #include "include/quetzal/placement/Speculation.h"
+#include "include/quetzal/workers/Evidence.h"
 
 #include <algorithm>
 #include <array>
@@ -191,13 +192,16 @@
 }
 
 std::set<jobs::TaskId>
-Cell::OrphanedTasks() const
+Cell::BlockedTasks() const
 {
   std::set<jobs::TaskId> tasks;
   for (const auto& [id, entry] : workers_) {
     for (const auto& [key, orphan] : entry.worker_->State().orphans_) {
       tasks.insert(key.task_);
     }
+    for (const auto& [key, sentAt] : entry.worker_->State().openOrders_) {
+      tasks.insert(key.task_);
+    }
   }
   return tasks;
 }
@@ -206,7 +210,7 @@
 Cell::MayStart(const jobs::TaskState& aState, const jobs::TaskId& aTask, const Round& aRound)
 {
   return aState.phase_ == jobs::TaskPhase::kWaiting && aState.notBefore_ <= aRound.now_ &&
-         !aRound.orphaned_.contains(aTask);
+         !aRound.blocked_.contains(aTask);
 }
 
 void
@@ -224,7 +228,7 @@
   }
   Round round;
   round.now_ = now;
-  round.orphaned_ = OrphanedTasks();
+  round.blocked_ = BlockedTasks();
   round.quotas_ = QuotasInForce();
   if (!round.quotas_.empty()) {
     KnowsAllRuns();
@@ -463,6 +467,7 @@
     aRun,
     " worker=",
     worker,
+    workers::KnownIncarnationOf(aEntry.worker_->State(), Now()),
     " free_cpu=",
     workers::FreeCapacity(aEntry.worker_->State(), aEntry.worker_->Registration().capacity_).cpu_);
   context_.metrics_->Add("quetzal_starts_total", { { "service", service_ } });
@@ -471,6 +476,35 @@
   aEntry.worker_->Start(order, MakeCountedRun(aJob, spec, aRun, workers::RunState::kOrdered));
 }
 
+bool
+Cell::MayRepeatStart(const std::string& aWorker, const workers::RunKey& aRun)
+{
+  jobs::Job* const job = jobs_.Find(aRun.task_.job_);
+  const jobs::TaskState* const task = job == nullptr ? nullptr : jobs::FindTask(*job, aRun.task_);
+  const auto entry = workers_.find(aWorker);
+  if (task == nullptr || job->ending_ || entry == workers_.end()) {
+    return false;
+  }
+  const auto step = static_cast<std::size_t>(aRun.task_.step_);
+  const jobs::StepSpec& spec = job->spec_.steps_.at(step);
+  // The next incarnation of a worker may be of another kind.
+  const std::vector<std::string>& labels = entry->second.worker_->Registration().labels_;
+  if (!spec.requiredLabel_.empty() &&
+      std::find(labels.begin(), labels.end(), spec.requiredLabel_) == labels.end()) {
+    return false;
+  }
+  const auto isPlaced = [&aRun](const jobs::TaskState& aTask) {
+    return aTask.phase_ == jobs::TaskPhase::kPlaced &&
+           (aTask.run_ == aRun.number_ || aTask.copyRun_ == aRun.number_);
+  };
+  if (!spec.gang_) {
+    return isPlaced(*task);
+  }
+  // A member alone would wait for the others until it is given up.
+  const auto& tasks = job->liveOccurrences_.at(aRun.task_.occurrence_).steps_.at(step).tasks_;
+  return std::all_of(tasks.begin(), tasks.end(), isPlaced);
+}
+
 bool
 Cell::NeedsTicket(const jobs::Job& aJob) const
 {
@@ -574,7 +608,7 @@
       continue;
     }
     const jobs::TaskId id{ aJob.id_, aOccurrence, aStep, i };
-    if (aRound.orphaned_.contains(id)) {
+    if (aRound.blocked_.contains(id)) {
       continue;
     }
     if (!IsWithinQuota(aJob, spec, aRound)) {
