--- a/src/explain/Conclusion.cpp
+++ b/src/explain/Conclusion.cpp
@@ -163,10 +163,12 @@
 {
   std::string text;
   for (std::size_t i = 0; i < std::min(aRuns.size(), kMaxRunsShown); ++i) {
-    text += "\n" + ToText(aRuns[i]);
+    text.append("\n").append(ToText(aRuns[i]));
   }
   if (aRuns.size() > kMaxRunsShown) {
-    text += "\nOther uncertain runs: " + std::to_string(aRuns.size() - kMaxRunsShown) + ".";
+    text.append("\nOther uncertain runs: ")
+      .append(std::to_string(aRuns.size() - kMaxRunsShown))
+      .append(".");
   }
   return text;
 }
