--- a/include/quetzal/cells/Cell.h
+++ b/include/quetzal/cells/Cell.h
@@ -162,8 +162,8 @@
   /** Cordons these workers and uncordons all others. */
   void CordonWorkers(const std::set<std::string>& aWorkers);
 
-  /** Marks the unresponsive ones of these workers as terminated. The given workers are no host's
-   * current incarnation, so one that is also unresponsive runs nothing any more. */
+  /** Marks the unresponsive ones of these workers as terminated, which the platform's list showed
+   * as gone. They may be back. @param aSeenGoneAt when they were certainly gone; see RunBounds. */
   void MarkTerminated(const std::set<std::string>& aWorkers,
                       clock::Moment aSeenGoneAt = clock::Now());
 
