--- a/src/workers/RunBounds.cpp
+++ b/src/workers/RunBounds.cpp
@@ -166,7 +166,7 @@
 TakeConfirmedRuns(WorkerState& aState, clock::Moment aPolledAt, const LeaseTimes& aTimes)
 {
   RemoveOrphans(aState);
-  const auto confirmed = TakeRunsIf(aState, [aPolledAt, &aTimes](const Run& aRun) {
+  auto confirmed = TakeRunsIf(aState, [aPolledAt, &aTimes](const Run& aRun) {
     return aRun.confirmed_ && aRun.answeredAt_ < aPolledAt &&
            !MayStillBegin(aRun, aPolledAt, aTimes);
   });
--- a/tests/unit/ExplainTest.cpp
+++ b/tests/unit/ExplainTest.cpp
@@ -244,8 +244,10 @@
 
 BOOST_AUTO_TEST_CASE(Runs_MoreThanAreShown_AreCounted)
 {
+  constexpr int kRuns = 13;
   std::vector<std::string> lines;
-  for (int run = 0; run < 13; ++run) {
+  lines.reserve(kRuns);
+  for (int run = 0; run < kRuns; ++run) {
     lines.push_back(Line(run, "a", TaskEnded(run, "lapsed", 0)));
   }
   const std::string conclusion = ConclusionOf(HistoryOf(kJob, lines));
--- a/tests/unit/RunBoundsTest.cpp
+++ b/tests/unit/RunBoundsTest.cpp
@@ -68,7 +68,7 @@
   const jobs::TaskId other_{ "j", 0, 0, 1 };
   const clock::Moment now_ = clock::Moment() + 1h;
   const clock::Moment lapsed_ = now_ + 5'300ms; ///< The lease has lapsed on the slowest clock.
-  const LeaseTimes times_;
+  const LeaseTimes times_{};
 };
 
 BOOST_FIXTURE_TEST_SUITE(RunBounds, RunBoundsFixture)
--- a/tests/unit/WorkerStateTest.cpp
+++ b/tests/unit/WorkerStateTest.cpp
@@ -20,7 +20,7 @@
 
   const jobs::TaskId task_{ "j", 0, 0, 0 };
   clock::Moment now_ = clock::Moment() + 1h;
-  const LeaseTimes times_;
+  const LeaseTimes times_{};
 };
 
 BOOST_FIXTURE_TEST_SUITE(WorkerStates, WorkerStateFixture)
