--- /dev/null
+++ b/review/standin-3/Main.cpp
@@ -0,0 +1,57 @@
+/** review-3: runs one case of the review against entry hosts of the deploy file. */
+
+#include "include/quetzal/log/Log.h"
+#include "include/quetzal/process/Application.h"
+#include "review/standin-3/Cases.h"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace {
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kCouldNotRun = 2;
+constexpr int kArguments = 3;
+
+bool
+RunCase(const std::string& aName, review::Record& aRecord, bool aTrouble)
+{
+  if (aName == "past-job") {
+    return review::RunPastJob(aRecord, aTrouble);
+  }
+  if (aName == "one-way-cut") {
+    return review::RunOneWayCut(aRecord, aTrouble);
+  }
+  if (aName == "moved-queue") {
+    return review::RunMovedQueue(aRecord, aTrouble);
+  }
+  if (aName == "refused-starts") {
+    return review::RunRefusedStarts(aRecord, aTrouble);
+  }
+  throw review::CannotRun("there is no case " + aName);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  if (aCount != kArguments) {
+    std::cerr << "usage: review-3 CASE RECORD\n";
+    return kCouldNotRun;
+  }
+  quetzal::process::Application application(aCount, aArguments);
+  quetzal::log::Start("review-3", quetzal::log::Level::kWarning);
+  const char* trouble = std::getenv("TROUBLE");
+  const bool hasTrouble = trouble == nullptr || std::string(trouble) != "0";
+  review::Record record(aArguments[2]);
+  try {
+    const bool isBroken = RunCase(aArguments[1], record, hasTrouble);
+    record.Add(isBroken ? "the rule was broken" : "the rule held");
+    return isBroken ? kBroken : kHeld;
+  } catch (const std::exception& error) {
+    record.Add(std::string("could not run: ") + error.what());
+    return kCouldNotRun;
+  }
+}
--- /dev/null
+++ b/review/standin-3/Minion.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "include/quetzal/clock/Time.h"
+#include "include/quetzal/http/Server.h"
+#include "platform/Body.h"
+#include "review/standin-3/Record.h"
+
+#include <QtCore/QPointer>
+#include <QtCore/QTimer>
+#include <map>
+#include <set>
+
+namespace review {
+
+/** How a minion treats calls. */
+enum class MinionMode : std::uint8_t
+{
+  kSound,
+  kRefusesStarts, ///< Answers start orders with 503 and does nothing for them.
+  kCutOneWay,     ///< Carries all calls out; none of its answers arrives.
+};
+
+struct MinionOptions
+{
+  std::string id_;
+  std::string service_;
+  std::string zone_;
+  std::string rack_;
+  quetzal::settings::Endpoint endpoint_;
+  std::int64_t cpu_ = 32'000;
+};
+
+/** A minion whose subtasks are simulated by timers. A subtask's spec tells its processor need and
+ * its duration: "cpu=1800 ms=640"; one without a duration lasts until it is stopped. */
+class Minion : public QObject
+{
+public:
+  Minion(const MinionOptions& aOptions, Record& aRecord);
+
+  const MinionOptions& Options() const { return options_; }
+
+  /** Returns what the minion writes into the store at each heartbeat. */
+  std::string Registration();
+
+  void SetMode(MinionMode aMode);
+
+  /** Returns the processor need of all that runs. */
+  std::int64_t UsedCpu() const;
+  bool Runs(const std::string& aTask) const;
+
+private:
+  using Key = std::pair<std::string, std::int64_t>;
+
+  struct Run
+  {
+    std::int64_t cpu_ = 0;
+    quetzal::clock::Moment endsAt_{};
+  };
+  struct End
+  {
+    std::int64_t number_ = 0;
+    Key key_;
+    std::string how_;
+  };
+  struct WaitingLook
+  {
+    QPointer<quetzal::http::ServerConnection> connection_;
+    quetzal::clock::Moment endsAt_{};
+  };
+
+  void Serve(quetzal::http::ServerConnection* aConnection, const quetzal::http::Request& aRequest);
+  quetzal::http::Response Start(const quetzal::adapter::Value& aOrder);
+  quetzal::http::Response Stop(const quetzal::adapter::Value& aOrder);
+  bool TakeHold(const quetzal::adapter::Value& aCall);
+  bool IsFenced(const quetzal::adapter::Value& aCall);
+  void ExtendLease(std::int64_t aDeadlineMs);
+  void EndRun(const Key& aKey, const std::string& aHow);
+  void OnTimer();
+  std::int64_t ClockMs() const;
+  quetzal::http::Response Accept() const;
+  quetzal::http::Response Reject(const std::string& aReason) const;
+  quetzal::http::Response Lists() const;
+
+  MinionOptions options_;
+  Record& record_;
+  quetzal::http::Server server_;
+  MinionMode mode_ = MinionMode::kSound;
+  std::map<Key, Run> running_;
+  std::vector<End> ended_;
+  std::map<std::string, std::int64_t> highestEnded_; ///< By subtask: the last run that ended.
+  std::vector<WaitingLook> waiting_;
+  std::int64_t fence_ = 0;
+  std::int64_t leaseEndMs_ = 0;
+  std::int64_t nextEnd_ = 1;
+  std::int64_t beats_ = 0;
+  std::int64_t bornMs_ = 0;
+  quetzal::clock::Moment bornAt_{};
+  QTimer timer_;
+};
+
+} // namespace review
