--- a/review/standin-3/Cases.h
+++ b/review/standin-3/Cases.h
@@ -24,6 +24,10 @@
 bool
 RunMovedQueue(Record& aRecord, bool aTrouble);
 
+/** A minion crashes and starts again under its id as one of another kind. */
+bool
+RunOtherKind(Record& aRecord, bool aTrouble);
+
 /** The only minion with room refuses all starts while jobs wait. */
 bool
 RunRefusedStarts(Record& aRecord, bool aTrouble);
--- a/review/standin-3/Main.cpp
+++ b/review/standin-3/Main.cpp
@@ -29,6 +29,9 @@
   if (aName == "refused-starts") {
     return review::RunRefusedStarts(aRecord, aTrouble);
   }
+  if (aName == "other-kind") {
+    return review::RunOtherKind(aRecord, aTrouble);
+  }
   throw review::CannotRun("there is no case " + aName);
 }
 
--- a/review/standin-3/Minion.cpp
+++ b/review/standin-3/Minion.cpp
@@ -47,19 +47,50 @@
 Minion::Minion(const MinionOptions& aOptions, Record& aRecord)
   : options_(aOptions)
   , record_(aRecord)
-  , server_({})
   , bornMs_(quetzal::clock::UnixMs())
   , bornAt_(Now())
 {
-  connect(&server_, &quetzal::http::Server::ConnectionArrived, this, [this](auto* aConnection) {
-    connect(aConnection,
-            &quetzal::http::ServerConnection::RequestArrived,
-            this,
-            [this, aConnection](const auto& aRequest) { Serve(aConnection, aRequest); });
-  });
   connect(&timer_, &QTimer::timeout, this, &Minion::OnTimer);
   timer_.start(kTimerInterval);
-  server_.Listen(options_.endpoint_);
+  Listen();
+}
+
+void
+Minion::Listen()
+{
+  server_ = std::make_unique<quetzal::http::Server>(quetzal::http::ServerLimits{});
+  connect(
+    server_.get(), &quetzal::http::Server::ConnectionArrived, this, [this](auto* aConnection) {
+      connect(aConnection,
+              &quetzal::http::ServerConnection::RequestArrived,
+              this,
+              [this, aConnection](const auto& aRequest) { Serve(aConnection, aRequest); });
+    });
+  server_->Listen(options_.endpoint_);
+}
+
+void
+Minion::Crash()
+{
+  record_.Add(options_.id_ + " crashes");
+  server_.reset();
+  running_.clear();
+  ended_.clear();
+  highestEnded_.clear();
+  waiting_.clear();
+}
+
+void
+Minion::StartAgain(const std::string& aKind)
+{
+  options_.kind_ = aKind;
+  fence_ = 0;
+  leaseEndMs_ = 0;
+  nextEnd_ = 1;
+  bornMs_ = quetzal::clock::UnixMs();
+  bornAt_ = Now();
+  Listen();
+  record_.Add(options_.id_ + " starts again, of kind " + aKind);
 }
 
 std::string
@@ -74,7 +105,7 @@
   writer.Put("born", bornMs_).Put("seq", ++beats_);
   writer.Key("capacity").Map(3).Put("cpu", options_.cpu_).Put("mem-mb", kMemoryMb);
   writer.Put("gpu", std::int64_t{ 0 });
-  writer.Key("labels").List(2).Put(std::string("a")).Put(options_.rack_);
+  writer.Key("labels").List(2).Put(options_.kind_).Put(options_.rack_);
   return writer.Bytes();
 }
 
@@ -214,7 +245,7 @@
     return Reject("room");
   }
   running_[key] = run;
-  record_.Add(options_.id_ + " begins " + name);
+  record_.Add(options_.id_ + " (kind " + options_.kind_ + ") begins " + name);
   return Accept();
 }
 
--- a/review/standin-3/Minion.h
+++ b/review/standin-3/Minion.h
@@ -8,7 +8,7 @@
 #include <QtCore/QPointer>
 #include <QtCore/QTimer>
 #include <map>
-#include <set>
+#include <memory>
 
 namespace review {
 
@@ -25,6 +25,7 @@
   std::string id_;
   std::string service_;
   std::string zone_;
+  std::string kind_ = "a";
   std::string rack_;
   quetzal::settings::Endpoint endpoint_;
   std::int64_t cpu_ = 32'000;
@@ -44,6 +45,12 @@
 
   void SetMode(MinionMode aMode);
 
+  /** Ends the process: all that it runs ends, and its channels and its port close. */
+  void Crash();
+  /** Starts the process again, under its id and at its address, with nothing of before. */
+  void StartAgain(const std::string& aKind);
+  bool IsUp() const { return server_ != nullptr; }
+
   /** Returns the processor need of all that runs. */
   std::int64_t UsedCpu() const;
   bool Runs(const std::string& aTask) const;
@@ -68,6 +75,7 @@
     quetzal::clock::Moment endsAt_{};
   };
 
+  void Listen();
   void Serve(quetzal::http::ServerConnection* aConnection, const quetzal::http::Request& aRequest);
   quetzal::http::Response Start(const quetzal::adapter::Value& aOrder);
   quetzal::http::Response Stop(const quetzal::adapter::Value& aOrder);
@@ -83,7 +91,7 @@
 
   MinionOptions options_;
   Record& record_;
-  quetzal::http::Server server_;
+  std::unique_ptr<quetzal::http::Server> server_; ///< Null while the process is down.
   MinionMode mode_ = MinionMode::kSound;
   std::map<Key, Run> running_;
   std::vector<End> ended_;
--- a/review/standin-3/PastJob.cpp
+++ b/review/standin-3/PastJob.cpp
@@ -80,7 +80,9 @@
   int lost = 0;
   for (const std::string& id : FindIdleJobs(aSite, aJobs)) {
     const std::string state = aSite.StateOf(0, "quotes", id);
-    aRecord.Add("GET quotes/" + id + " at front-0: " + state);
+    std::string line = "GET quotes/";
+    line.append(id).append(" at front-0: ").append(state);
+    aRecord.Add(line);
     lost += state == "completed" ? 0 : 1;
   }
   return lost;
--- a/review/standin-3/Site.cpp
+++ b/review/standin-3/Site.cpp
@@ -53,7 +53,8 @@
 PutStep(BodyWriter& aWriter, const StepOptions& aStep, int aIndex)
 {
   const std::size_t extra = (aStep.lasts_ ? 1U : 0U) + (aStep.antiAffinity_ > 0 ? 1U : 0U) +
-                            (aStep.mayMiss_ > 0 ? 1U : 0U) + (aStep.afterPrevious_ ? 1U : 0U);
+                            (aStep.mayMiss_ > 0 ? 1U : 0U) + (aStep.afterPrevious_ ? 1U : 0U) +
+                            (aStep.requires_.empty() ? 0U : 1U);
   aWriter.Map(4 + extra).Put("count", std::int64_t{ aStep.count_ }).Put("cpu", aStep.cpu_);
   aWriter.Put("mem-mb", aStep.memoryMb_).Put("estimate-ms", aStep.estimateMs_);
   if (aStep.lasts_) {
@@ -65,6 +66,9 @@
   if (aStep.mayMiss_ > 0) {
     aWriter.Put("may-miss", std::int64_t{ aStep.mayMiss_ });
   }
+  if (!aStep.requires_.empty()) {
+    aWriter.Put("requires", aStep.requires_);
+  }
   if (aStep.afterPrevious_) {
     aWriter.Key("after").List(1).Put(std::int64_t{ aIndex - 1 });
   }
@@ -133,6 +137,7 @@
       MinionOptions minion;
       minion.id_ = "i-" + std::to_string(kFirstMinion + index);
       minion.service_ = service.name_;
+      minion.kind_ = index == 0 ? options_.kindOfFirst_ : minion.kind_;
       minion.zone_ = "z" + std::to_string(index % kZones);
       minion.rack_ = "r1-" + std::to_string(index / kMinionsOfARack);
       minion.endpoint_ = { network_ + std::to_string(kFirstMinion + index), kMinionPort };
@@ -235,14 +240,35 @@
   }
 }
 
+void
+Site::Register(Minion& aMinion)
+{
+  store_->Put("servers/" + aMinion.Options().id_, aMinion.Registration());
+}
+
 void
 Site::Beat()
 {
   for (const auto& minion : minions_) {
-    store_->Put("servers/" + minion->Options().id_, minion->Registration());
+    if (minion->IsUp() && !unregistered_.contains(minion->Options().id_)) {
+      Register(*minion);
+    }
   }
 }
 
+void
+Site::StartAgain(std::size_t aIndex, const std::string& aKind, Milliseconds aDelay)
+{
+  Minion& minion = MinionAt(aIndex);
+  minion.StartAgain(aKind);
+  unregistered_.insert(minion.Options().id_);
+  QTimer::singleShot(aDelay, Qt::PreciseTimer, this, [this, &minion] {
+    unregistered_.erase(minion.Options().id_);
+    Register(minion);
+    record_.Add("the store shows the new entry of " + minion.Options().id_);
+  });
+}
+
 void
 Site::ListMachines(quetzal::http::ServerConnection* aConnection) const
 {
@@ -252,7 +278,7 @@
     const MinionOptions& options = minion->Options();
     writer.Map(7).Put("machine", "m-" + options.id_).Put("pool", options.service_);
     writer.Put("state", std::string("up")).Put("zone", options.zone_).Put("id", options.id_);
-    writer.Key("labels").List(2).Put(std::string("a")).Put(options.rack_);
+    writer.Key("labels").List(2).Put(options.kind_).Put(options.rack_);
     writer.Key("capacity").Map(3).Put("cpu", options.cpu_);
     writer.Put("mem-mb", std::int64_t{ 65'536 }).Put("gpu", std::int64_t{ 0 });
   }
--- a/review/standin-3/Site.h
+++ b/review/standin-3/Site.h
@@ -8,6 +8,7 @@
 #include <QtCore/QTemporaryDir>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace review {
 
@@ -30,7 +31,8 @@
   int entryHosts_ = 3;
   std::vector<ServiceOptions> services_;
   std::vector<QueueOptions> queues_;
-  int memoryMb_ = 260; ///< Limit of each process, as in the settings.
+  std::string kindOfFirst_ = "a"; ///< Kind of the first minion; all others are of kind "a".
+  int memoryMb_ = 260;            ///< Limit of each process, as in the settings.
 };
 
 /** One step of a job that a client hands in. */
@@ -44,6 +46,7 @@
   int antiAffinity_ = 0;
   int mayMiss_ = 0;
   bool afterPrevious_ = false;
+  std::string requires_;
 };
 
 struct JobOptions
@@ -69,6 +72,11 @@
   /** Writes a configuration with these queues. */
   void Configure(const std::vector<QueueOptions>& aQueues);
 
+  /** Starts a minion again that has crashed. The store shows its new entry after a delay. */
+  void StartAgain(std::size_t aIndex,
+                  const std::string& aKind,
+                  quetzal::clock::Milliseconds aDelay);
+
   Minion& MinionAt(std::size_t aIndex) { return *minions_.at(aIndex); }
   std::size_t Minions() const { return minions_.size(); }
   int EntryHosts() const { return options_.entryHosts_; }
@@ -115,6 +123,7 @@
   void OnHostEnded(int aHost);
   void CheckMemory();
   void Beat();
+  void Register(Minion& aMinion);
   void ListMachines(quetzal::http::ServerConnection* aConnection) const;
   std::optional<quetzal::http::Response> Call(int aHost,
                                               const std::string& aMethod,
@@ -130,6 +139,7 @@
   std::vector<std::unique_ptr<Minion>> minions_;
   std::vector<EntryHost> hosts_;
   std::int64_t version_ = 0;
+  std::set<std::string> unregistered_; ///< Minions whose new entries the store does not show yet.
   QTimer beatTimer_;
   QTimer memoryTimer_;
   bool ending_ = false;
